Pack key tables, watch the operator's keys on every node, ask for tokens apart from reports

Ruled out: pushing configurations by reference; a watch of the operator's keys on each node costs less than the pushes did.

--- a/src/mesh_coordinator.cc
+++ b/src/mesh_coordinator.cc
@@ -162,7 +162,13 @@
   push.set_store_age_ms(static_cast<std::uint32_t>(
       std::chrono::duration_cast<std::chrono::milliseconds>(m_session.Age(now)).count()));
   for (proto::ViewItem& item : m_session.View().ItemsSince(peer.acknowledged)) {
-    *push.add_items() = std::move(item);
+    if (item.key().starts_with(kMeshPrefix)) {
+      *push.add_items() = std::move(item);
+    }
+  }
+  if (push.items().empty()) {
+    peer.acknowledged = sequence;
+    return;
   }
   peer.pushing = true;
   m_hooks.push(member, push, [this, node = member.node(), incarnation = member.incarnation(), sequence](bool arrived) {
@@ -193,22 +199,6 @@
   if (config == nullptr) {
     return;
   }
-  if (m_pool_version != config->version) {
-    m_pool_version = config->version;
-    m_pool.SetLimits(now, *config);
-  }
-  reply->set_quota_version(static_cast<std::int64_t>(config->version));
-  if (report.quota_version() == reply->quota_version()) {
-    for (const proto::TenantDemand& demand : report.demands()) {
-      const double given =
-          m_pool.Take(now, demand.tenant(), demand.wanted_milli() / kMilli, m_session.View().Members().size());
-      if (given > 0) {
-        proto::TokenGrant* grant = reply->add_tokens();
-        grant->set_tenant(demand.tenant());
-        grant->set_milli(static_cast<std::uint32_t>(given * kMilli));
-      }
-    }
-  }
   for (const auto& [node, known] : m_reports) {
     const proto::MeshMember* member = m_session.View().FindMember(node);
     const MeshService* service = member != nullptr ? config->FindService(member->service()) : nullptr;
@@ -225,6 +215,30 @@
   }
 }
 
+void MeshCoordinatorDuty::OnTokenCall(TimePoint now, const proto::TokenCall& call, proto::TokenReply* reply) {
+  const auto config = m_session.View().Config();
+  if (!IsCoordinator() || config == nullptr) {
+    return;
+  }
+  if (m_pool_version != config->version) {
+    m_pool_version = config->version;
+    m_pool.SetLimits(now, *config);
+  }
+  reply->set_quota_version(static_cast<std::int64_t>(config->version));
+  if (call.quota_version() != reply->quota_version()) {
+    return;
+  }
+  for (const proto::TenantDemand& demand : call.demands()) {
+    const double given =
+        m_pool.Take(now, demand.tenant(), demand.wanted_milli() / kMilli, m_session.View().Members().size());
+    if (given > 0) {
+      proto::TokenGrant* grant = reply->add_tokens();
+      grant->set_tenant(demand.tenant());
+      grant->set_milli(static_cast<std::uint32_t>(given * kMilli));
+    }
+  }
+}
+
 // ---- Keys ----
 
 KeyPlanInput MeshCoordinatorDuty::Gather(const std::string& service, const proto::KeyTable& table, TimePoint now) {
@@ -289,7 +303,7 @@
   for (const std::string& node : plan.required_absent) {
     txn.compares.push_back(StoreCompare{MemberKey(node), 0});
   }
-  txn.puts.push_back(StorePut{TableKey(service.name), plan.table.SerializeAsString(), 0});
+  txn.puts.push_back(StorePut{TableKey(service.name), PackTable(plan.table), 0});
   m_planning.insert(service.name);
   m_session.Write(std::move(txn), [this, name = service.name, reason = plan.reason, ranges = plan.table.ranges_size(),
                                    fence = plan.table.last_fence()](const absl::StatusOr<StoreWrite>& written) {
--- a/src/mesh_coordinator_p.h
+++ b/src/mesh_coordinator_p.h
@@ -33,6 +33,8 @@
   void OnViewChanged();
   // A report of any node, this one included.
   void OnReport(TimePoint now, const proto::MeshReport& report, proto::MeshReply* reply);
+  // A node lacks tokens of workspaces.
+  void OnTokenCall(TimePoint now, const proto::TokenCall& call, proto::TokenReply* reply);
   // Gives the role up at once.
   void Resign();
 
--- a/src/mesh_gate.cc
+++ b/src/mesh_gate.cc
@@ -21,9 +21,9 @@
 constexpr Duration kSecond = std::chrono::seconds(1);
 // The target may count a second a little differently.
 constexpr Duration kColdWindow = kSecond + std::chrono::milliseconds(60);
-constexpr Duration kLeastRetryAfter = std::chrono::milliseconds(20);
-// A wait longer than this is not predicted.
-constexpr Duration kMostRetryAfter = std::chrono::seconds(2);
+// A request that comes back is placed by its objective, ahead of newer ones, so it is asked back soon.
+constexpr Duration kLeastRetryAfter = std::chrono::milliseconds(25);
+constexpr Duration kMostRetryAfter = std::chrono::milliseconds(150);
 
 Duration Scaled(Duration duration, double factor) {
   return Duration(static_cast<Duration::rep>(static_cast<double>(duration.count()) * factor));
@@ -63,10 +63,10 @@
   return std::min(oldest + kColdWindow, m_cold_until) - now;
 }
 
-Duration MeshGate::WaitFor(TimePoint now, std::uint32_t priority) const {
+Duration MeshGate::WaitFor(TimePoint now, std::uint32_t priority, TimePoint objective) const {
   std::size_t ahead = 0;
   for (const auto& [key, work] : m_queue) {
-    if (key.priority > priority) {
+    if (key.priority > priority || (key.priority == priority && key.objective > objective)) {
       break;
     }
     ++ahead;
@@ -90,7 +90,7 @@
   }
   const bool late = work.objective <= now;
   const std::uint32_t priority = work.priority + (late ? kLatePriority : 0);
-  const Duration wait = WaitFor(now, priority);
+  const Duration wait = WaitFor(now, priority, work.objective);
   const Duration finish = wait + Scaled(ServiceOf(work.route), kServiceShare);
   const TimePoint bound = late ? now + Scaled(work.expires - now, kLateWaitShare) + ServiceOf(work.route) : work.objective;
   if (now + finish > bound) {
@@ -146,8 +146,7 @@
     const TimePoint worthwhile = (late ? it->second.expires : it->second.objective) -
                                  Scaled(ServiceOf(it->second.route), kHopelessShare);
     if (now > worthwhile && (late || m_queue.size() > 1 || now >= it->second.objective)) {
-      step.refuse.push_back(GateRefusal{it->second.ticket, std::clamp(WaitFor(now, it->first.priority), kLeastRetryAfter,
-                                                                      kMostRetryAfter)});
+      step.refuse.push_back(GateRefusal{it->second.ticket, kLeastRetryAfter});
       it = remove(it);
     } else {
       ++it;
--- a/src/mesh_gate_p.h
+++ b/src/mesh_gate_p.h
@@ -80,8 +80,8 @@
     auto operator<=>(const Key&) const = default;
   };
 
-  // Time until the target could begin with work of this priority.
-  Duration WaitFor(TimePoint now, std::uint32_t priority) const;
+  // Time until the target could begin with work that is placed here in the queue.
+  Duration WaitFor(TimePoint now, std::uint32_t priority, TimePoint objective) const;
   // Time until the cold limit lets one more request through.
   Duration ColdWait(TimePoint now) const;
   void Send(TimePoint now, const GateWork& work);
--- a/src/mesh_ingress.cc
+++ b/src/mesh_ingress.cc
@@ -15,6 +15,8 @@
 constexpr Duration kTokenWait = std::chrono::milliseconds(60);
 // How often a held request looks for an owner without being told of a change.
 constexpr Duration kHoldStep = std::chrono::milliseconds(40);
+// An owner that does not hold a key is asked again under the same fence after this time.
+constexpr Duration kAskOwnerAgain = std::chrono::milliseconds(150);
 // A request that is late already is held for an owner at most this long.
 constexpr Duration kLateHold = std::chrono::milliseconds(150);
 // A node that could not be reached is left out for this long.
@@ -240,6 +242,11 @@
   if (m_hooks.view().FindMember(owner) == nullptr || m_hints[owner].avoid_until > now) {
     return "";
   }
+  // An owner that gives the key away says so once; the change of the table tells where it went.
+  if (range->fence() == flow.refused_fence && now < flow.ask_again_at) {
+    return "";
+  }
+  flow.asked_fence = range->fence();
   return owner;
 }
 
@@ -449,6 +456,8 @@
         Try(id);
         return;
       }
+      flow.refused_fence = flow.asked_fence;
+      flow.ask_again_at = now + kAskOwnerAgain;
       Hold(id);
       return;
     case proto::MESH_BUSY:
--- a/src/mesh_ingress_p.h
+++ b/src/mesh_ingress_p.h
@@ -107,6 +107,9 @@
     std::string node;  // of the send
     std::set<std::string> excluded;
     std::string hinted_owner;
+    std::uint64_t asked_fence = 0;    // of the owner that was asked last
+    std::uint64_t refused_fence = 0;  // its owner does not hold the key now
+    TimePoint ask_again_at;           // the same owner
     TimerId timer = 0;
     TimerId hold_timer = 0;
     bool waits_for_tokens = false;
--- a/src/mesh_keys.cc
+++ b/src/mesh_keys.cc
@@ -18,8 +18,10 @@
 // Pieces that a range's load is reported in.
 constexpr int kLoadPieces = 8;
 // A target this busy gives keys away; the gain must be worth the pause of the moved keys.
-constexpr double kBusyUtilization = 0.55;
-constexpr double kUtilizationGap = 0.2;
+constexpr double kBusyUtilization = 0.6;
+constexpr double kUtilizationGap = 0.25;
+// Beyond its capacity a target refuses; keys that move between two such targets help nobody.
+constexpr double kFullUtilization = 0.9;
 // Least time between two balancing moves of one target, so that the measured rates follow.
 constexpr Duration kMoveInterval = std::chrono::milliseconds(900);
 constexpr std::size_t kMovesPerPlan = 2;
@@ -327,7 +329,7 @@
       return;
     }
     const double least = m_projected[idlest->life.node()] / CapacityOf(*idlest);
-    if (most - least < kUtilizationGap) {
+    if (most - least < kUtilizationGap || least > kFullUtilization) {
       return;
     }
     // Rate whose move makes both equally used.
@@ -405,6 +407,58 @@
   }
 }
 
+std::string PackTable(const proto::KeyTable& table) {
+  proto::PackedTable packed;
+  packed.set_last_fence(table.last_fence());
+  const auto position = [&packed](const proto::TargetLife& life) {
+    for (int i = 0; i < packed.lives_size(); ++i) {
+      if (SameLife(packed.lives(i), life)) {
+        return static_cast<std::uint32_t>(i);
+      }
+    }
+    *packed.add_lives() = life;
+    return static_cast<std::uint32_t>(packed.lives_size() - 1);
+  };
+  for (const proto::KeyRange& range : table.ranges()) {
+    proto::PackedRange* stored = packed.add_ranges();
+    stored->set_last(range.last());
+    stored->set_owner(position(range.owner()));
+    stored->set_fence(range.fence());
+    stored->set_handover(range.handover());
+    if (range.has_successor()) {
+      stored->set_successor(position(range.successor()) + 1);
+    }
+  }
+  return packed.SerializeAsString();
+}
+
+bool UnpackTable(std::string_view text, proto::KeyTable* table) {
+  proto::PackedTable packed;
+  if (!packed.ParseFromArray(text.data(), static_cast<int>(text.size()))) {
+    return false;
+  }
+  table->Clear();
+  table->set_last_fence(packed.last_fence());
+  const auto lives = static_cast<std::uint32_t>(packed.lives_size());
+  std::uint32_t first = 0;
+  for (const proto::PackedRange& stored : packed.ranges()) {
+    if (stored.owner() >= lives || stored.successor() > lives || stored.last() < first) {
+      return false;
+    }
+    proto::KeyRange* range = table->add_ranges();
+    range->set_first(first);
+    range->set_last(stored.last());
+    *range->mutable_owner() = packed.lives(static_cast<int>(stored.owner()));
+    range->set_fence(stored.fence());
+    range->set_handover(stored.handover());
+    if (stored.successor() != 0) {
+      *range->mutable_successor() = packed.lives(static_cast<int>(stored.successor()) - 1);
+    }
+    first = stored.last() + 1;
+  }
+  return true;
+}
+
 bool CompleteMove(proto::KeyTable* table,
                   const proto::TargetLife& owner,
                   std::uint32_t first,
--- a/src/mesh_keys_p.h
+++ b/src/mesh_keys_p.h
@@ -78,6 +78,10 @@
   std::map<std::string, TimePoint> m_moved;   // last balancing move that a node took part in
 };
 
+// The stored form of a table and back.
+std::string PackTable(const proto::KeyTable& table);
+bool UnpackTable(std::string_view packed, proto::KeyTable* table);
+
 // Moves a range that its owner has released: the successor owns it with a higher fence. False when the table no longer
 // says that this owner gives the range away.
 bool CompleteMove(proto::KeyTable* table,
--- a/src/mesh_node.cc
+++ b/src/mesh_node.cc
@@ -29,6 +29,9 @@
 constexpr Duration kReportPeriod = std::chrono::milliseconds(400);
 // Urgent reports are this far apart.
 constexpr Duration kUrgentReport = std::chrono::milliseconds(15);
+// Tokens are asked for this often while some are lacking, and after this pause when none were to be had.
+constexpr Duration kTokenPeriod = std::chrono::milliseconds(200);
+constexpr Duration kTokenPause = std::chrono::milliseconds(250);
 constexpr Duration kReportTimeout = std::chrono::milliseconds(500);
 constexpr Duration kPushTimeout = std::chrono::milliseconds(600);
 // A replica this old is refreshed from any node that answers.
@@ -41,6 +44,8 @@
 constexpr Duration kStopDrain = std::chrono::milliseconds(1900);
 // Time left of the grace for the last calls to the store.
 constexpr Duration kStopMargin = std::chrono::milliseconds(700);
+// Releases that end within this time are written together.
+constexpr Duration kReleaseBatch = std::chrono::milliseconds(8);
 constexpr Duration kSettingsCheck = std::chrono::seconds(2);
 constexpr std::size_t kStoreConnections = 8;
 // Tickets of requests that this node sends to its own target; those of other nodes are numbered by their calls.
@@ -48,6 +53,7 @@
 
 const std::string kRunPath = "/run";
 const std::string kReportPath = "/report";
+const std::string kTokenPath = "/tokens";
 const std::string kPushPath = "/push";
 const std::string kRelayPath = "/store";
 
@@ -217,7 +223,12 @@
         m_peers.Cancel(send);
       }
     };
-    hooks.want_tokens = [this] { ReportSoon(); };
+    hooks.want_tokens = [this] {
+      if (!m_tokens_refused) {
+        m_tokens_at = TimePoint();
+      }
+      AskForTokens(BootClock::now());
+    };
     return hooks;
   }
 
@@ -333,6 +344,13 @@
         AnswerReport(report, &answer);
       }
       reply(answer.SerializeAsString(), "");
+    } else if (message.path == kTokenPath) {
+      proto::TokenCall tokens;
+      proto::TokenReply answer;
+      if (tokens.ParseFromString(message.head)) {
+        m_coordinator.OnTokenCall(BootClock::now(), tokens, &answer);
+      }
+      reply(answer.SerializeAsString(), "");
     } else if (message.path == kPushPath) {
       proto::MeshPush push;
       if (push.ParseFromString(message.head)) {
@@ -397,15 +415,6 @@
     report.set_incarnation(m_incarnation);
     *report.mutable_target() = m_target.Report(now);
     report.set_stopping(m_stopping_since.has_value());
-    const auto config = m_session.View().Config();
-    if (config != nullptr) {
-      report.set_quota_version(static_cast<std::int64_t>(config->version));
-      for (const auto& [workspace, wanted] : m_ingress.Tokens().Wanted(now)) {
-        proto::TenantDemand* demand = report.add_demands();
-        demand->set_tenant(static_cast<std::uint32_t>(workspace));
-        demand->set_wanted_milli(static_cast<std::uint32_t>(wanted * 1000));
-      }
-    }
     return report;
   }
 
@@ -472,16 +481,65 @@
       hint.service_s = std::max<std::uint32_t>(update.service_us(), 1000) / 1e6;
       hint.in_flight_at_report = hint.in_flight;
     }
+    m_ingress.OnViewChanged();
+  }
+
+  // ---- Tokens ----
+
+  void AskForTokens(TimePoint now) {
     const auto config = m_session.View().Config();
-    if (config != nullptr && reply.quota_version() == static_cast<std::int64_t>(config->version)) {
-      for (const proto::TokenGrant& grant : reply.tokens()) {
-        m_ingress.Tokens().Add(grant.tenant(), grant.milli() / 1000.0);
-      }
-      if (!reply.tokens().empty()) {
-        m_ingress.OnTokens();
-      }
+    const auto& coordinator = m_session.View().Coordinator();
+    if (now < m_tokens_at || m_asking_tokens || config == nullptr || !coordinator.has_value()) {
+      return;
     }
-    m_ingress.OnViewChanged();
+    proto::TokenCall call;
+    call.set_quota_version(static_cast<std::int64_t>(config->version));
+    for (const auto& [workspace, wanted] : m_ingress.Tokens().Wanted(now)) {
+      proto::TenantDemand* demand = call.add_demands();
+      demand->set_tenant(static_cast<std::uint32_t>(workspace));
+      demand->set_wanted_milli(static_cast<std::uint32_t>(wanted * 1000));
+    }
+    m_tokens_at = now + kTokenPeriod;
+    if (call.demands().empty()) {
+      return;
+    }
+    if (m_coordinator.IsCoordinator()) {
+      proto::TokenReply reply;
+      m_coordinator.OnTokenCall(now, call, &reply);
+      OnTokenReply(reply);
+      return;
+    }
+    const proto::MeshMember* member = m_session.View().FindMember(coordinator->node());
+    if (member == nullptr) {
+      return;
+    }
+    m_asking_tokens = true;
+    m_peers.Call(AddressOf(*member), kTokenPath, call.SerializeAsString(), m_empty, kReportTimeout,
+                 [this](const MeshCallResult& result) {
+                   m_asking_tokens = false;
+                   proto::TokenReply reply;
+                   if (result.outcome == MeshCallOutcome::kAnswered && reply.ParseFromString(result.answer.head)) {
+                     OnTokenReply(reply);
+                   }
+                 });
+  }
+
+  void OnTokenReply(const proto::TokenReply& reply) {
+    const auto config = m_session.View().Config();
+    if (config == nullptr || reply.quota_version() != static_cast<std::int64_t>(config->version)) {
+      return;
+    }
+    if (reply.tokens().empty()) {
+      // The workspaces are at their limits; asking again at once gets nothing.
+      m_tokens_at = BootClock::now() + kTokenPause;
+      m_tokens_refused = true;
+      return;
+    }
+    m_tokens_refused = false;
+    for (const proto::TokenGrant& grant : reply.tokens()) {
+      m_ingress.Tokens().Add(grant.tenant(), grant.milli() / 1000.0);
+    }
+    m_ingress.OnTokens();
   }
 
   // Learns from any other node what this one has missed.
@@ -583,37 +641,64 @@
   // ---- Keys ----
 
   // Changes the local target's table by a conditional write.
-  void ChangeTable(const std::function<bool(proto::KeyTable*)>& change, std::string_view what) {
+  void ChangeTable(const std::function<bool(proto::KeyTable*)>& change, std::string_view what, std::function<void()> done) {
     const TableState* state = m_session.View().Table(m_settings.service);
     if (state == nullptr || m_session.AuthorityEnd() <= BootClock::now()) {
+      done();
       return;
     }
     proto::KeyTable table = state->table;
     if (!change(&table)) {
+      done();
       return;
     }
     StoreTxn txn;
     txn.compares.push_back(StoreCompare{TableKey(m_settings.service), state->revision});
-    txn.puts.push_back(StorePut{TableKey(m_settings.service), table.SerializeAsString(), 0});
-    m_session.Write(std::move(txn), [this, change, what = std::string(what)](const absl::StatusOr<StoreWrite>& written) {
-      if (written.ok() && !written->succeeded) {
+    txn.puts.push_back(StorePut{TableKey(m_settings.service), PackTable(table), 0});
+    m_session.Write(std::move(txn), [this, change, what = std::string(what), done = std::move(done),
+                                     revision = state->revision](const absl::StatusOr<StoreWrite>& written) {
+      const TableState* now = m_session.View().Table(m_settings.service);
+      if (written.ok() && !written->succeeded && now != nullptr && now->revision != revision) {
         // Another change came first; this one applies to its result.
-        ChangeTable(change, what);
+        ChangeTable(change, what, done);
         return;
       }
       if (!written.ok()) {
         m_log.Write(LogRank::kFailure, "table_not_written",
                     {{"what", what}, {"why", std::string(written.status().message())}});
       }
+      done();
     });
   }
 
+  // Releases that end together are one write.
   void CompleteRelease(const proto::KeyRange& range, const std::string& handover) {
+    m_released.emplace_back(range, handover);
+    if (m_release_timer != 0 || m_writing_releases) {
+      return;
+    }
+    m_release_timer = m_timers.At(BootClock::now() + kReleaseBatch, [this] {
+      m_release_timer = 0;
+      WriteReleases();
+    });
+  }
+
+  void WriteReleases() {
+    m_writing_releases = true;
     ChangeTable(
-        [range, handover](proto::KeyTable* table) {
-          return CompleteMove(table, range.owner(), range.first(), range.last(), range.fence(), handover);
+        [released = std::exchange(m_released, {})](proto::KeyTable* table) {
+          bool changed = false;
+          for (const auto& [range, handover] : released) {
+            changed = CompleteMove(table, range.owner(), range.first(), range.last(), range.fence(), handover) || changed;
+          }
+          return changed;
         },
-        "release");
+        "release", [this] {
+          m_writing_releases = false;
+          if (!m_released.empty()) {
+            WriteReleases();
+          }
+        });
   }
 
   void RenewFences(const std::set<std::uint64_t>& fences) {
@@ -622,7 +707,8 @@
     life.set_node(m_settings.node);
     life.set_id(report.id());
     life.set_start_ms(report.start_ms());
-    ChangeTable([life, fences](proto::KeyTable* table) { return RaiseFences(table, life, fences); }, "fence");
+    ChangeTable([life, fences](proto::KeyTable* table) { return RaiseFences(table, life, fences); }, "fence",
+                [] {});
   }
 
   // ---- Time ----
@@ -637,7 +723,9 @@
     if (now >= m_report_at) {
       SendReport(now);
     }
-    if (m_session.Age(now) > kStaleReplica && now - m_coordinator_heard > kStaleReplica) {
+    AskForTokens(now);
+    if ((m_session.Age(now) > kStaleReplica && now - m_coordinator_heard > kStaleReplica) ||
+        !m_session.HearsOperator(now)) {
       AskAnyone(now);
     }
     if (now - m_coordinator_heard > kWithoutCoordinator) {
@@ -827,11 +915,17 @@
   std::uint64_t m_last_local = 0;
   std::unordered_map<std::uint64_t, std::function<void(SendResult)>> m_local_done;
   bool m_view_posted = false;
+  std::vector<std::pair<proto::KeyRange, std::string>> m_released;
+  TimerId m_release_timer = 0;
+  bool m_writing_releases = false;
   std::uint64_t m_config_version = 0;
   TimePoint m_report_at;
   TimePoint m_reported_at;
   TimerId m_report_timer = 0;
   TimePoint m_coordinator_heard;
+  TimePoint m_tokens_at;
+  bool m_asking_tokens = false;
+  bool m_tokens_refused = false;
   TimePoint m_ask_at;
   TimePoint m_ticked_at;
   TimePoint m_slow_tick_at;
--- a/src/mesh_session.cc
+++ b/src/mesh_session.cc
@@ -19,6 +19,8 @@
 // A replica that the coordinator has not confirmed for this long is kept by a watch of the node's own.
 constexpr Duration kCoordinatorSilence = std::chrono::milliseconds(1000);
 constexpr Duration kCoordinatorStale = std::chrono::milliseconds(4500);
+// The node's own watch of the operator's keys returns at least this often.
+constexpr Duration kWatchSilence = std::chrono::milliseconds(4000);
 constexpr Duration kFirstBackoff = std::chrono::milliseconds(150);
 constexpr Duration kMostBackoff = std::chrono::milliseconds(1500);
 
@@ -79,9 +81,11 @@
     m_watching = !kept;
     m_log.Write(LogRank::kState, m_watching ? "watch_started" : "watch_ended", {{"revision", m_view.Revision()}});
   }
-  if (m_watching && m_lease != 0) {
-    for (WatchLoop& loop : m_loops) {
-      RunWatch(loop, now);
+  if (m_lease != 0) {
+    // Every node watches the operator's keys itself: their bounds are short, and the store's bytes cross no domain.
+    RunWatch(m_loops[0], now);
+    if (m_watching) {
+      RunWatch(m_loops[1], now);
     }
   }
 }
@@ -174,6 +178,9 @@
     }
     loop.after = range->revision;
     loop.backoff = Duration(0);
+    if (&loop == m_loops) {
+      m_operator_heard = BootClock::now();
+    }
     const bool changed = m_view.ApplyRange(loop.prefix, *range);
     NoteWatchProgress(BootClock::now());
     if (changed) {
@@ -211,10 +218,13 @@
     }
     const TimePoint at = BootClock::now();
     NoteWatchProgress(at);
+    if (&loop == m_loops) {
+      m_operator_heard = at;
+    }
     if (changed) {
       m_hooks.on_view();
     }
-    if (m_watching && !m_stopped) {
+    if ((m_watching || &loop == m_loops) && !m_stopped) {
       RunWatch(loop, at);
     }
   });
@@ -227,6 +237,11 @@
   }
 }
 
+bool MeshSession::HearsOperator(TimePoint now) const {
+  return m_loops[0].after != 0 && m_loops[0].backoff == Duration(0) && now - m_operator_heard < kWatchSilence &&
+         m_store.IsReachable();
+}
+
 void MeshSession::Fail(WatchLoop& loop, const absl::Status& status) {
   loop.backoff = std::clamp(loop.backoff * 2, kFirstBackoff, kMostBackoff);
   loop.not_before = BootClock::now() + loop.backoff;
@@ -250,9 +265,7 @@
   m_synced_at = std::max(m_synced_at, BootClock::now() - age);
   if (!m_watching) {
     // A later watch of this node's own continues from here.
-    for (WatchLoop& loop : m_loops) {
-      loop.after = std::max(loop.after, revision);
-    }
+    m_loops[1].after = std::max(m_loops[1].after, revision);
   }
   if (changed) {
     m_hooks.on_view();
--- a/src/mesh_session_p.h
+++ b/src/mesh_session_p.h
@@ -51,7 +51,8 @@
   void Merge(const google::protobuf::RepeatedPtrField<proto::ViewItem>& items, std::int64_t revision, Duration age);
   // Makes this node watch the store even while a coordinator keeps its replica.
   void SetMustWatch(bool must_watch) { m_must_watch = must_watch; }
-  bool IsWatching() const { return m_watching; }
+  // Whether changes of the operator reach this node from the store.
+  bool HearsOperator(TimePoint now) const;
 
   // A conditional write; its effect, or what was found instead, is merged into the replica.
   void Write(StoreTxn txn, std::function<void(absl::StatusOr<StoreWrite>)> done);
@@ -100,6 +101,7 @@
   bool m_watching = false;
   TimePoint m_synced_at;
   TimePoint m_coordinator_good_at;
+  TimePoint m_operator_heard;
 };
 
 }  // namespace magnoliaarch
--- a/src/mesh_target.cc
+++ b/src/mesh_target.cc
@@ -114,7 +114,6 @@
 MeshTarget::KeyState MeshTarget::StateOfKey(std::uint32_t key, TimePoint now, std::string* owner) const {
   for (const Release& release : m_releases) {
     if (release.range.first() <= key && key <= release.range.last()) {
-      *owner = release.range.successor().node();
       return KeyState::kElsewhere;
     }
   }
@@ -131,9 +130,8 @@
   if (SameLife(range->owner(), LifeRecord()) && !range->has_successor()) {
     return KeyState::kPending;
   }
-  *owner = range->has_successor() ? range->successor().node() : range->owner().node();
-  if (*owner == m_options.node) {
-    owner->clear();
+  if (range->owner().node() != m_options.node) {
+    *owner = range->owner().node();
   }
   return KeyState::kElsewhere;
 }
--- a/src/mesh_view.cc
+++ b/src/mesh_view.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "mesh_keys_p.h"
+
 namespace magnoliaarch {
 namespace {
 
@@ -136,7 +138,7 @@
     state.revision = item.revision();
     if (item.deleted()) {
       m_tables.erase(service);
-    } else if (state.table.ParseFromString(item.value())) {
+    } else if (UnpackTable(item.value(), &state.table)) {
       m_tables[service] = std::move(state);
     } else {
       m_on_unreadable(key, absl::InvalidArgumentError("not a key table"));
