--- a/src/mesh_ingress.cc
+++ b/src/mesh_ingress.cc
@@ -79,6 +79,10 @@
     RefuseExchange(exchange, MeshError::kMalformed, "", "");
     return;
   }
+  if (m_refuse_all) {
+    RefuseExchange(exchange, MeshError::kStopping, caller->id, "");
+    return;
+  }
   const std::shared_ptr<const MeshConfig> config = m_hooks.view().Config();
   if (config == nullptr) {
     RefuseExchange(exchange, MeshError::kNotConfigured, caller->id, "");
--- a/src/mesh_ingress_p.h
+++ b/src/mesh_ingress_p.h
@@ -84,7 +84,8 @@
   TokenHolder& Tokens() { return m_tokens; }
   std::map<std::string, TargetHint>& Hints() { return m_hints; }
   std::size_t InProgress() const { return m_flows.size(); }
-  void SetStopping() { m_stopping = true; }
+  // The node ends soon: what arrives now could not be finished.
+  void RefuseAll() { m_refuse_all = true; }
 
  private:
   using FlowId = std::uint64_t;
@@ -164,7 +165,7 @@
   TokenHolder m_tokens;
   std::uint64_t m_token_version = 0;
   std::uint64_t m_random;
-  bool m_stopping = false;
+  bool m_refuse_all = false;
 };
 
 }  // namespace magnoliaarch
--- a/src/mesh_keys.cc
+++ b/src/mesh_keys.cc
@@ -22,11 +22,16 @@
 constexpr double kUtilizationGap = 0.25;
 // Beyond its capacity a target refuses; keys that move between two such targets help nobody.
 constexpr double kFullUtilization = 0.9;
-// Least time between two balancing moves of one target, so that the measured rates follow.
-constexpr Duration kMoveInterval = std::chrono::milliseconds(900);
-constexpr std::size_t kMovesPerPlan = 2;
-// Ranges of one table; more are not split.
-constexpr int kMaxRangesPerTarget = 24;
+// Least time between two balancing plans for one source, so that the measured rates follow.
+constexpr Duration kMoveInterval = std::chrono::milliseconds(700);
+constexpr std::size_t kMovesPerPlan = 6;
+// Ranges of one target; more are not split.
+constexpr int kMaxRangesPerTarget = 16;
+// A leaving target's range is parted so that no successor gets more than this share of its capacity at once.
+constexpr double kLeavePart = 0.2;
+// Adjacent ranges of one owner are merged this often, when there are more than this many for each target.
+constexpr Duration kMergePeriod = std::chrono::milliseconds(2500);
+constexpr int kMergeAbove = 3;
 // A cold target counts with this share of its capacity.
 constexpr double kColdCapacity = 0.25;
 
@@ -166,26 +171,69 @@
   for (const auto& [node, target] : input.targets) {
     m_projected[node] = target.offered;
   }
+  // The reports of a target show a new load as slowly as its average follows.
+  std::erase_if(m_expected, [&](const Expected& move) { return input.now - move.at > std::chrono::seconds(5); });
+  for (const Expected& move : m_expected) {
+    const double age = std::chrono::duration<double>(input.now - move.at).count();
+    m_projected[move.node] += move.rate * std::exp(-age / kLoadDecayS);
+  }
   if (table.ranges().empty()) {
     AssignFirst(input, &plan);
     return plan;
   }
-  // Keys on their way count for the target that gets them.
+  // Keys on their way no longer count for the target that gives them away.
   for (const proto::KeyRange& range : table.ranges()) {
     const auto owner = input.targets.find(range.owner().node());
     if (range.has_successor() && owner != input.targets.end()) {
       const proto::RangeLoad* load = LoadOf(owner->second, range.first());
       const double rate = load != nullptr ? load->rate_milli() / 1000.0 : 0;
       m_projected[range.owner().node()] -= rate;
-      m_projected[range.successor().node()] += rate;
     }
   }
   ReplaceLost(input, &plan);
   MoveFromLeaving(input, &plan);
   Balance(input, &plan);
+  if (!plan.changed) {
+    Merge(input, &plan);
+  }
   return plan;
 }
 
+void KeyPlanner::Expect(const std::string& node, double rate, TimePoint now) {
+  m_projected[node] += rate;
+  m_expected.push_back(Expected{node, rate, now});
+}
+
+// A merged range gets a new fence, which its owner is granted without a pause worth mentioning.
+void KeyPlanner::Merge(const KeyPlanInput& input, KeyPlan* plan) {
+  if (input.now - m_merged < kMergePeriod ||
+      plan->table.ranges_size() <= kMergeAbove * static_cast<int>(std::max<std::size_t>(input.targets.size(), 1))) {
+    return;
+  }
+  m_merged = input.now;
+  proto::KeyTable next;
+  next.set_last_fence(plan->table.last_fence());
+  for (const proto::KeyRange& range : plan->table.ranges()) {
+    proto::KeyRange* last = next.ranges().empty() ? nullptr : next.mutable_ranges(next.ranges_size() - 1);
+    const auto owner = input.targets.find(range.owner().node());
+    const bool steady = owner != input.targets.end() && owner->second.accepts && SameLife(owner->second.life, range.owner());
+    if (last == nullptr || !steady || range.has_successor() || last->has_successor() ||
+        !SameLife(last->owner(), range.owner())) {
+      *next.add_ranges() = range;
+      continue;
+    }
+    last->set_last(range.last());
+    last->clear_handover();
+    next.set_last_fence(next.last_fence() + 1);
+    last->set_fence(next.last_fence());
+  }
+  if (next.ranges_size() < plan->table.ranges_size()) {
+    plan->reason = fmt::format("{} ranges merged into {}", plan->table.ranges_size(), next.ranges_size());
+    plan->table = std::move(next);
+    plan->changed = true;
+  }
+}
+
 void KeyPlanner::AssignFirst(const KeyPlanInput& input, KeyPlan* plan) {
   std::vector<const KeyTarget*> targets;
   double slots = 0;
@@ -240,7 +288,7 @@
     for (const Piece& piece : pieces) {
       const KeyTarget* target = LeastUsed(input, m_projected, piece.rate, "");
       const double share = static_cast<double>(piece.last - piece.first + 1) / (kMaxKey + 1);
-      m_projected[target->life.node()] += std::max(piece.rate, share * target->Capacity());
+      Expect(target->life.node(), std::max(piece.rate, share * target->Capacity()), input.now);
       proto::KeyRange* moved = next.add_ranges();
       moved->set_first(piece.first);
       moved->set_last(piece.last);
@@ -277,9 +325,23 @@
     }
     changed = true;
     plan->reason = fmt::format("owner {} leaves", range.owner().node());
-    for (const Piece& piece : PiecesOf(range, &owner->second)) {
+    const std::vector<Piece> pieces = PiecesOf(range, &owner->second);
+    double rate = 0;
+    for (const Piece& piece : pieces) {
+      rate += piece.rate;
+    }
+    const auto parts = static_cast<std::size_t>(
+        std::clamp(std::ceil(rate / (kLeavePart * owner->second.Capacity())), 1.0, static_cast<double>(pieces.size())));
+    std::vector<Piece> groups(parts, Piece{UINT32_MAX, 0, 0});
+    for (std::size_t i = 0; i < pieces.size(); ++i) {
+      Piece& group = groups[i * parts / pieces.size()];
+      group.first = std::min(group.first, pieces[i].first);
+      group.last = std::max(group.last, pieces[i].last);
+      group.rate += pieces[i].rate;
+    }
+    for (const Piece& piece : groups) {
       const KeyTarget* target = LeastUsed(input, m_projected, piece.rate, range.owner().node());
-      m_projected[target->life.node()] += piece.rate;
+      Expect(target->life.node(), piece.rate, input.now);
       proto::KeyRange* last = next.ranges().empty() ? nullptr : next.mutable_ranges(next.ranges_size() - 1);
       if (last != nullptr && last->fence() == range.fence() && last->has_successor() && last->last() + 1 == piece.first &&
           SameLife(last->successor(), target->life)) {
@@ -308,6 +370,8 @@
       moving.insert(range.owner().node());
     }
   }
+  std::set<std::string> finished;
+  std::set<std::string> sources;
   for (std::size_t move = 0; move < kMovesPerPlan; ++move) {
     const KeyTarget* busiest = nullptr;
     double most = 0;
@@ -315,22 +379,22 @@
       const double use = m_projected[node] / CapacityOf(target);
       const auto moved = m_moved.find(node);
       const bool rests = moved != m_moved.end() && input.now - moved->second < kMoveInterval;
-      if (target.accepts && !target.leaving && !rests && !moving.contains(node) && use > most) {
+      if (target.accepts && !target.leaving && !rests && !moving.contains(node) && !finished.contains(node) && use > most) {
         busiest = &target;
         most = use;
       }
     }
     if (busiest == nullptr || most < kBusyUtilization) {
-      return;
+      break;
     }
     const std::string source = busiest->life.node();
     const KeyTarget* idlest = LeastUsed(input, m_projected, 0, source);
     if (idlest == nullptr) {
-      return;
+      break;
     }
     const double least = m_projected[idlest->life.node()] / CapacityOf(*idlest);
     if (most - least < kUtilizationGap || least > kFullUtilization) {
-      return;
+      break;
     }
     // Rate whose move makes both equally used.
     const double source_capacity = CapacityOf(*busiest);
@@ -363,14 +427,15 @@
       consider(pieces.begin(), pieces.end());
       consider(pieces.rbegin(), pieces.rend());
     }
-    m_moved[source] = input.now;
     if (best_range < 0) {
-      return;
+      finished.insert(source);
+      continue;
     }
     const proto::KeyRange whole = plan->table.ranges(best_range);
     const bool splits = best.first != whole.first() || best.last != whole.last();
     if (splits && RangesOf(plan->table, source) >= kMaxRangesPerTarget) {
-      return;
+      finished.insert(source);
+      continue;
     }
     proto::KeyTable next;
     next.set_last_fence(plan->table.last_fence());
@@ -401,9 +466,11 @@
     plan->reason = fmt::format("{} at {:.2f} gives {:.1f}/s of {}-{} to {} at {:.2f}", source, most, best.rate, best.first,
                                best.last, idlest->life.node(), least);
     m_projected[source] -= best.rate;
-    m_projected[idlest->life.node()] += best.rate;
-    m_moved[idlest->life.node()] = input.now;
-    moving.insert(source);
+    Expect(idlest->life.node(), best.rate, input.now);
+    sources.insert(source);
+  }
+  for (const std::string& source : sources) {
+    m_moved[source] = input.now;
   }
 }
 
--- a/src/mesh_keys_p.h
+++ b/src/mesh_keys_p.h
@@ -73,9 +73,20 @@
   void ReplaceLost(const KeyPlanInput& input, KeyPlan* plan);
   void MoveFromLeaving(const KeyPlanInput& input, KeyPlan* plan);
   void Balance(const KeyPlanInput& input, KeyPlan* plan);
+  void Merge(const KeyPlanInput& input, KeyPlan* plan);
+  // Counts keys of this rate for the node that gets them, until its own reports do.
+  void Expect(const std::string& node, double rate, TimePoint now);
+
+  struct Expected {
+    std::string node;
+    double rate = 0;
+    TimePoint at;
+  };
 
   std::map<std::string, double> m_projected;  // requests a second by node, with the moves planned now
-  std::map<std::string, TimePoint> m_moved;   // last balancing move that a node took part in
+  std::vector<Expected> m_expected;           // of moves whose load the reports do not show yet
+  std::map<std::string, TimePoint> m_moved;   // last balancing move from a node
+  TimePoint m_merged;
 };
 
 // The stored form of a table and back.
--- a/src/mesh_node.cc
+++ b/src/mesh_node.cc
@@ -42,6 +42,8 @@
 // A stopping node still takes callers for this long: two missed readiness checks, a second apart.
 constexpr Duration kStopNotice = std::chrono::milliseconds(2200);
 constexpr Duration kStopDrain = std::chrono::milliseconds(1900);
+// Callers that still come after this time are refused: their requests could outlast the grace.
+constexpr Duration kStopRefuse = std::chrono::milliseconds(2700);
 // Time left of the grace for the last calls to the store.
 constexpr Duration kStopMargin = std::chrono::milliseconds(700);
 // Releases that end within this time are written together.
@@ -798,7 +800,6 @@
                 {{"signal", signal}, {"requests", m_ingress.InProgress()}, {"at_target", m_target.InProgress()}});
     m_log.Flush();
     m_target.SetStopping();
-    m_ingress.SetStopping();
     m_coordinator.Resign();
     SendReport(*m_stopping_since);
   }
@@ -810,6 +811,9 @@
       m_drained = true;
       m_callers.Drain();
     }
+    if (waited > kStopRefuse) {
+      m_ingress.RefuseAll();
+    }
     const bool idle = m_ingress.InProgress() == 0 && m_target.InProgress() == 0 && m_callers.InProgress() == 0;
     const bool due = waited > m_settings.bounds.stop_grace - kStopMargin;
     if (!m_leaving && ((idle && waited > kStopNotice) || due)) {
--- a/src/mesh_target.cc
+++ b/src/mesh_target.cc
@@ -582,9 +582,12 @@
   grant.asked = true;
   grant.lapses = std::max(grant.lapses, now + kCallDelay + WithDrift(hold));
   const KeyGrant call{grant.first, grant.last, grant.fence, hold, grant.handover};
+  const std::uint64_t number = ++m_last_grant_call;
+  m_grant_calls.push_back(GrantCallInFlight{number, grant.first, grant.last});
   m_client.Send(m_wire.GrantCall(call, m_address), kGrantTimeout, nullptr,
-                [this, first = grant.first, fence = grant.fence, now, hold, id = m_life->id,
+                [this, number, first = grant.first, fence = grant.fence, now, hold, id = m_life->id,
                  start = m_life->start_ms](const HttpResult& result) {
+                  std::erase_if(m_grant_calls, [number](const GrantCallInFlight& sent) { return sent.number == number; });
                   if (m_life && m_life->id == id && m_life->start_ms == start) {
                     OnGrantResult(first, fence, now, hold, result);
                   }
@@ -610,6 +613,8 @@
     ++m_failures;
   }
   if (it == m_grants.end()) {
+    // The range changed while the call was on its way; a release may wait for its end.
+    Reconcile(now);
     return;
   }
   it->asked = false;
@@ -639,6 +644,9 @@
     if (release.range.first() == range.first() && release.range.last() == range.last() &&
         release.range.fence() == range.fence()) {
       release.range = range;
+      if (!release.sent && !release.done) {
+        SendRelease(release);
+      }
       // The change in the store is still missing, or the target never answered and its time is over.
       if ((release.done || now >= release.lapses) && now >= release.retry_at) {
         release.retry_at = now + kReleaseRetry;
@@ -653,7 +661,7 @@
   release.retry_at = now + kReleaseRetry;
   release.done = lapses <= now;
   const bool done = release.done;
-  m_releases.push_back(release);
+  m_releases.push_back(std::move(release));
   m_log.Write(LogRank::kState, "keys_released",
               {{"first", range.first()}, {"last", range.last()}, {"fence", range.fence()},
                {"successor", range.successor().node()}, {"held", !done}});
@@ -661,6 +669,18 @@
     m_hooks.on_released(range, "");
     return;
   }
+  SendRelease(m_releases.back());
+}
+
+// A grant on its way could overtake the release and take the keys back, so the release waits for it.
+void MeshTarget::SendRelease(Release& release) {
+  const proto::KeyRange range = release.range;
+  for (const GrantCallInFlight& sent : m_grant_calls) {
+    if (sent.first <= range.last() && range.first() <= sent.last) {
+      return;
+    }
+  }
+  release.sent = true;
   m_client.Send(m_wire.ReleaseCall(range.first(), range.last(), range.fence(), m_address), kReleaseTimeout, nullptr,
                 [this, range](const HttpResult& result) {
                   if (result.outcome != HttpOutcome::kAnswered || result.answer.status != kOk) {
@@ -669,12 +689,12 @@
                     return;
                   }
                   OnContact();
-                  for (Release& release : m_releases) {
-                    if (release.range.first() == range.first() && release.range.fence() == range.fence() &&
-                        release.range.last() == range.last() && !release.done) {
-                      release.done = true;
-                      release.handover = m_wire.HandoverOf(result.answer);
-                      m_hooks.on_released(release.range, release.handover);
+                  for (Release& pending : m_releases) {
+                    if (pending.range.first() == range.first() && pending.range.fence() == range.fence() &&
+                        pending.range.last() == range.last() && !pending.done) {
+                      pending.done = true;
+                      pending.handover = m_wire.HandoverOf(result.answer);
+                      m_hooks.on_released(pending.range, pending.handover);
                       return;
                     }
                   }
@@ -731,9 +751,13 @@
   report.set_service_us(static_cast<std::uint32_t>(m_gate.MeanService().count()));
   report.set_offered_milli(static_cast<std::uint32_t>(m_offered * 1000));
   if (IsSharded()) {
+    // Only the keys that the target has now: those that it gave away arrive elsewhere.
+    std::uint32_t offered = 0;
     for (const Grant& grant : m_grants) {
       *report.add_ranges() = m_meter.Measure(now, grant.first, grant.last);
+      offered += report.ranges(report.ranges_size() - 1).rate_milli();
     }
+    report.set_offered_milli(offered);
   }
   return report;
 }
--- a/src/mesh_target_p.h
+++ b/src/mesh_target_p.h
@@ -100,11 +100,18 @@
   };
   struct Release {
     proto::KeyRange range;
+    bool sent = false;
     bool done = false;
     std::string handover;
     TimePoint lapses;
     TimePoint retry_at;
   };
+  // A grant on its way to the target.
+  struct GrantCallInFlight {
+    std::uint64_t number = 0;
+    std::uint32_t first = 0;
+    std::uint32_t last = 0;
+  };
   enum class KeyState { kGranted, kPending, kElsewhere };
 
   bool IsSharded() const;
@@ -127,6 +134,7 @@
   void AskGrant(Grant& grant, TimePoint now);
   void OnGrantResult(std::uint32_t first, std::uint64_t fence, TimePoint sent, Duration hold, const HttpResult& result);
   void StartRelease(const proto::KeyRange& range, TimePoint lapses, TimePoint now);
+  void SendRelease(Release& release);
   void OnContact() { m_last_contact = BootClock::now(); }
   void OnEnded(std::string_view why);
   void BeginLife(const TargetBeat& beat);
@@ -153,6 +161,8 @@
   int m_failures = 0;  // in a row, without contact
   std::vector<Grant> m_grants;
   std::vector<Release> m_releases;
+  std::vector<GrantCallInFlight> m_grant_calls;
+  std::uint64_t m_last_grant_call = 0;
   std::unordered_map<GateTicket, Work> m_work;
   TimerId m_gate_timer = 0;
   TimePoint m_gate_timer_at;
