--- a/src/mesh_target.cc
+++ b/src/mesh_target.cc
@@ -12,8 +12,8 @@
 namespace {
 
 // Time of one key grant. Short, so that the keys of a target that fell silent are free soon; each renewal is one call
-// on the same host.
-constexpr Duration kHold = std::chrono::milliseconds(2000);
+// on the same host. A grant that the target carries out late, 2 s or more after it arrived, has lapsed by then.
+constexpr Duration kHold = std::chrono::milliseconds(1800);
 constexpr Duration kLeastHold = std::chrono::milliseconds(250);
 // The target's clock may run this much slow.
 constexpr double kClockDrift = 0.02;
@@ -21,6 +21,9 @@
 constexpr Duration kCallDelay = std::chrono::milliseconds(60);
 constexpr Duration kGrantTimeout = std::chrono::milliseconds(500);
 constexpr Duration kReleaseTimeout = std::chrono::milliseconds(1500);
+// The target answers a release when the work on its keys has ended. One whose answer may be lost is sent once more.
+constexpr Duration kReleaseAgain = std::chrono::milliseconds(700);
+constexpr int kReleaseSends = 2;
 constexpr Duration kReleaseRetry = std::chrono::milliseconds(150);
 // A sharded target that leaves serves its keys on until the successors have them, but no longer than the bound of a
 // leave less this margin.
@@ -63,12 +66,23 @@
       m_hooks(std::move(hooks)),
       m_client(context, HttpClientOptions{m_options.ip, m_options.port, kMaxConnections}) {}
 
-bool MeshTarget::IsSharded() const {
+// Lives as long as the configuration of the view.
+const MeshService* MeshTarget::Service() const {
   const auto config = m_hooks.view().Config();
-  const MeshService* service = config != nullptr && m_life ? config->FindService(m_life->service) : nullptr;
+  return config != nullptr && m_life ? config->FindService(m_life->service) : nullptr;
+}
+
+bool MeshTarget::IsSharded() const {
+  const MeshService* service = Service();
   return service != nullptr && service->sharded;
 }
 
+void MeshTarget::ApplyCold() {
+  const MeshService* service = Service();
+  const double rate = service != nullptr ? service->cold_rate : 0;
+  m_gate.SetCold(m_cold_until, rate > 0 ? static_cast<std::uint32_t>(std::max(1.0, rate * kColdFactor)) : 0);
+}
+
 bool MeshTarget::IsLeaving() const {
   return m_leaving_since.has_value() || m_evacuated_since.has_value() || m_stopping;
 }
@@ -85,7 +99,8 @@
 }
 
 std::optional<proto::MeshReason> MeshTarget::RefusalNow(TimePoint now) const {
-  if (!m_life || m_ended || m_suspect || m_unconfirmed) {
+  // Without the configuration nothing is known of the target's limits.
+  if (!m_life || m_ended || m_suspect || m_unconfirmed || Service() == nullptr) {
     return proto::MESH_TARGET_DOWN;
   }
   const bool balanced_leave = (m_leaving_since || m_evacuated_since) && !IsSharded();
@@ -437,18 +452,12 @@
   m_ended = false;
   m_suspect = false;
   m_unconfirmed = false;
-  m_cold_until_beat = false;
   m_failures = 0;
   OnContact();
   m_gate.SetSlots(beat.slots);
   const TimePoint now = BootClock::now();
-  const auto config = m_hooks.view().Config();
-  const MeshService* service = config != nullptr ? config->FindService(beat.service) : nullptr;
-  if (beat.cold_left > Duration(0) && service != nullptr && service->cold_rate > 0) {
-    m_gate.SetCold(now + beat.cold_left, static_cast<std::uint32_t>(std::max(1.0, service->cold_rate * kColdFactor)));
-  } else {
-    m_gate.SetCold(TimePoint(), 0);
-  }
+  m_cold_until = beat.cold_left > Duration(0) ? now + beat.cold_left : TimePoint();
+  ApplyCold();
   if (beat.draining && !m_leaving_since) {
     m_leaving_since = now;
     m_log.Write(LogRank::kState, "target_leaves", {{"id", beat.id}, {"how", "drains"}});
@@ -499,15 +508,13 @@
     } else {
       m_evacuated_since.reset();
       // The target may have become cold meanwhile; its next beat tells.
-      const auto config = m_hooks.view().Config();
-      const MeshService* service = config != nullptr && m_life ? config->FindService(m_life->service) : nullptr;
-      if (service != nullptr && service->cold_rate > 0 && !m_gate.IsCold(now)) {
-        m_gate.SetCold(now + service->warm_up, static_cast<std::uint32_t>(std::max(1.0, service->cold_rate * kColdFactor)));
-      }
+      const MeshService* service = Service();
+      m_cold_until = std::max(m_cold_until, now + (service != nullptr ? service->warm_up : Duration(0)));
     }
     m_log.Write(LogRank::kState, evacuated ? "domain_evacuated" : "domain_back", {{"domain", m_options.domain}});
     m_hooks.on_changed();
   }
+  ApplyCold();
   Reconcile(now);
   RetryHeld();
 }
@@ -534,7 +541,14 @@
         known = &grant;
       }
     }
-    if (range.has_successor()) {
+    const bool released = std::any_of(m_releases.begin(), m_releases.end(), [&](const Release& release) {
+      return release.range.first() == range.first() && release.range.last() == range.last() &&
+             release.range.fence() == range.fence();
+    });
+    // Keys that an open grant could still take back stay here, without renewal, until it has lapsed.
+    const bool waits = range.has_successor() && !released && known != nullptr &&
+                       HasOpenGrant(range.first(), range.last(), now);
+    if (range.has_successor() && !waits) {
       still_released.push_back(range.first());
       TimePoint lapses;
       for (const Grant& grant : m_grants) {
@@ -556,17 +570,19 @@
     grant.last = range.last();
     grant.fence = range.fence();
     grant.handover = range.handover();
+    grant.gives_away = waits;
     grants.push_back(std::move(grant));
   }
   std::erase_if(m_releases, [&](const Release& release) {
     return std::find(still_released.begin(), still_released.end(), release.range.first()) == still_released.end();
   });
   m_grants = std::move(grants);
+  std::erase_if(m_open_grants, [now](const OpenGrant& open) { return open.lapses <= now; });
   if (now >= ServeEnd() || m_suspect || m_unconfirmed) {
     return;
   }
   for (Grant& grant : m_grants) {
-    if (!grant.asked && now >= grant.renew_at) {
+    if (!grant.asked && !grant.gives_away && now >= grant.renew_at) {
       AskGrant(grant, now);
     }
   }
@@ -583,11 +599,13 @@
   grant.lapses = std::max(grant.lapses, now + kCallDelay + WithDrift(hold));
   const KeyGrant call{grant.first, grant.last, grant.fence, hold, grant.handover};
   const std::uint64_t number = ++m_last_grant_call;
-  m_grant_calls.push_back(GrantCallInFlight{number, grant.first, grant.last});
+  m_open_grants.push_back(OpenGrant{number, grant.first, grant.last, now + kCallDelay + WithDrift(hold)});
   m_client.Send(m_wire.GrantCall(call, m_address), kGrantTimeout, nullptr,
                 [this, number, first = grant.first, fence = grant.fence, now, hold, id = m_life->id,
                  start = m_life->start_ms](const HttpResult& result) {
-                  std::erase_if(m_grant_calls, [number](const GrantCallInFlight& sent) { return sent.number == number; });
+                  if (result.outcome != HttpOutcome::kBroken && result.outcome != HttpOutcome::kTimedOut) {
+                    std::erase_if(m_open_grants, [number](const OpenGrant& open) { return open.number == number; });
+                  }
                   if (m_life && m_life->id == id && m_life->start_ms == start) {
                     OnGrantResult(first, fence, now, hold, result);
                   }
@@ -644,8 +662,8 @@
     if (release.range.first() == range.first() && release.range.last() == range.last() &&
         release.range.fence() == range.fence()) {
       release.range = range;
-      if (!release.sent && !release.done) {
-        SendRelease(release);
+      if (!release.done && release.sends < kReleaseSends && now - release.sent_at > kReleaseAgain) {
+        SendRelease(release, now);
       }
       // The change in the store is still missing, or the target never answered and its time is over.
       if ((release.done || now >= release.lapses) && now >= release.retry_at) {
@@ -669,18 +687,19 @@
     m_hooks.on_released(range, "");
     return;
   }
-  SendRelease(m_releases.back());
+  SendRelease(m_releases.back(), now);
+}
+
+bool MeshTarget::HasOpenGrant(std::uint32_t first, std::uint32_t last, TimePoint now) const {
+  return std::any_of(m_open_grants.begin(), m_open_grants.end(), [&](const OpenGrant& open) {
+    return open.first <= last && first <= open.last && open.lapses > now;
+  });
 }
 
-// A grant on its way could overtake the release and take the keys back, so the release waits for it.
-void MeshTarget::SendRelease(Release& release) {
+void MeshTarget::SendRelease(Release& release, TimePoint now) {
   const proto::KeyRange range = release.range;
-  for (const GrantCallInFlight& sent : m_grant_calls) {
-    if (sent.first <= range.last() && range.first() <= sent.last) {
-      return;
-    }
-  }
-  release.sent = true;
+  release.sent_at = now;
+  ++release.sends;
   m_client.Send(m_wire.ReleaseCall(range.first(), range.last(), range.fence(), m_address), kReleaseTimeout, nullptr,
                 [this, range](const HttpResult& result) {
                   if (result.outcome != HttpOutcome::kAnswered || result.answer.status != kOk) {
--- a/src/mesh_target_p.h
+++ b/src/mesh_target_p.h
@@ -96,24 +96,28 @@
     TimePoint until;     // the target certainly holds the keys until then
     TimePoint lapses;    // the target certainly does not hold them after
     TimePoint renew_at;
-    bool asked = false;  // a grant call is on its way
+    bool asked = false;       // a grant call is on its way
+    bool gives_away = false;  // has a successor that waits for an open grant to lapse
   };
   struct Release {
     proto::KeyRange range;
-    bool sent = false;
+    TimePoint sent_at;
+    int sends = 0;
     bool done = false;
     std::string handover;
     TimePoint lapses;
     TimePoint retry_at;
   };
-  // A grant on its way to the target.
-  struct GrantCallInFlight {
+  // A grant whose answer is missing: the target may still carry it out, but its time counts from its arrival.
+  struct OpenGrant {
     std::uint64_t number = 0;
     std::uint32_t first = 0;
     std::uint32_t last = 0;
+    TimePoint lapses;  // after this it has no effect any more
   };
   enum class KeyState { kGranted, kPending, kElsewhere };
 
+  const MeshService* Service() const;
   bool IsSharded() const;
   bool MayServe(TimePoint now) const;
   std::optional<proto::MeshReason> RefusalNow(TimePoint now) const;
@@ -134,10 +138,14 @@
   void AskGrant(Grant& grant, TimePoint now);
   void OnGrantResult(std::uint32_t first, std::uint64_t fence, TimePoint sent, Duration hold, const HttpResult& result);
   void StartRelease(const proto::KeyRange& range, TimePoint lapses, TimePoint now);
-  void SendRelease(Release& release);
+  void SendRelease(Release& release, TimePoint now);
+  // Whether a grant of some of these keys may still take effect.
+  bool HasOpenGrant(std::uint32_t first, std::uint32_t last, TimePoint now) const;
   void OnContact() { m_last_contact = BootClock::now(); }
   void OnEnded(std::string_view why);
   void BeginLife(const TargetBeat& beat);
+  // The cold limit by the present configuration.
+  void ApplyCold();
 
   asio::io_context& m_context;
   TimerQueue& m_timers;
@@ -156,12 +164,12 @@
   bool m_stopping = false;
   std::optional<TimePoint> m_leaving_since;
   std::optional<TimePoint> m_evacuated_since;
-  bool m_cold_until_beat = false;  // came back from an evacuation and may be cold
+  TimePoint m_cold_until;  // as the target said, or as may be
   TimePoint m_last_contact;
   int m_failures = 0;  // in a row, without contact
   std::vector<Grant> m_grants;
   std::vector<Release> m_releases;
-  std::vector<GrantCallInFlight> m_grant_calls;
+  std::vector<OpenGrant> m_open_grants;
   std::uint64_t m_last_grant_call = 0;
   std::unordered_map<GateTicket, Work> m_work;
   TimerId m_gate_timer = 0;
