Ask for tokens with the requests that wait, keep limits by workspace; refuse callers while a stopping node says goodbye

Cause of false 429 (process case): tokens were asked for by the average demand only, and one workspace at its limit delayed all.

--- a/src/mesh_ingress.cc
+++ b/src/mesh_ingress.cc
@@ -188,7 +188,7 @@
   Flow& flow = m_flows.at(id);
   const TimePoint now = BootClock::now();
   if (flow.workspace && !m_tokens.Take(now, *flow.workspace)) {
-    if (now - flow.received > kTokenWait) {
+    if (now - flow.received > kTokenWait || m_tokens.IsAtLimit(now, *flow.workspace)) {
       Refuse(id, MeshError::kRateExceeded, kQuotaRetryAfter);
       return;
     }
@@ -220,6 +220,9 @@
       Admit(id);
     }
   }
+  if (!m_token_waiters.empty()) {
+    m_hooks.want_tokens();
+  }
 }
 
 RepeatBudget& MeshIngress::BudgetOf(const std::string& service) {
--- a/src/mesh_limits.cc
+++ b/src/mesh_limits.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace magnoliaarch {
 namespace {
@@ -13,6 +14,7 @@
 constexpr double kDemandDecayS = 1.0;
 // One node gets at most this many equal parts of a pool at a time, so that others find some left.
 constexpr double kMostParts = 3;
+constexpr Duration kLimitPause = std::chrono::milliseconds(250);
 // Part of the whole budget that nodes plan with; the rest covers calls of repeated runs and nodes that come and go.
 constexpr double kBudgetShare = 0.5;
 
@@ -56,7 +58,7 @@
 void TokenHolder::SetLimits(TimePoint now, const MeshConfig& config, std::size_t nodes) {
   std::vector<Hold> holds;
   for (const MeshWorkspace& workspace : config.workspaces) {
-    Hold hold{workspace.name, workspace.rate, workspace.burst, 0, 0, 0, now};
+    Hold hold{workspace.name, workspace.rate, workspace.burst, 0, 0, 0, now, 0, {}};
     for (const Hold& old : m_holds) {
       if (old.name == workspace.name) {
         hold = old;
@@ -95,6 +97,7 @@
   hold.arrived += 1;
   Update(now, hold);
   if (hold.tokens < 1) {
+    hold.unmet += 1;
     return false;
   }
   hold.tokens -= 1;
@@ -111,11 +114,11 @@
   std::vector<std::pair<std::size_t, double>> wanted;
   for (std::size_t i = 0; i < m_holds.size(); ++i) {
     Hold& hold = m_holds[i];
-    if (hold.rate <= 0) {
+    if (hold.rate <= 0 || now < hold.paused_until) {
       continue;
     }
     Update(now, hold);
-    const double lacking = std::max(kLeastHold, hold.demand * kHoldS) - hold.tokens;
+    const double lacking = std::max(kLeastHold, hold.demand * kHoldS) + std::exchange(hold.unmet, 0) - hold.tokens;
     if (lacking >= 1) {
       wanted.emplace_back(i, std::ceil(lacking));
     }
@@ -123,6 +126,16 @@
   return wanted;
 }
 
+void TokenHolder::OnNoneGiven(TimePoint now, std::size_t workspace) {
+  if (workspace < m_holds.size()) {
+    m_holds[workspace].paused_until = now + kLimitPause;
+  }
+}
+
+bool TokenHolder::IsAtLimit(TimePoint now, std::size_t workspace) const {
+  return workspace < m_holds.size() && now < m_holds[workspace].paused_until;
+}
+
 void TokenHolder::OnWithoutCoordinator(TimePoint /*now*/, Duration passed, std::size_t nodes) {
   const auto parts = static_cast<double>(std::max<std::size_t>(nodes, 1));
   for (Hold& hold : m_holds) {
--- a/src/mesh_limits_p.h
+++ b/src/mesh_limits_p.h
@@ -47,6 +47,9 @@
   void Add(std::size_t workspace, double tokens);
   // Tokens to ask the coordinator for, by workspace.
   std::vector<std::pair<std::size_t, double>> Wanted(TimePoint now);
+  // The coordinator had none: the workspace is at its limit, and asking again at once gets nothing.
+  void OnNoneGiven(TimePoint now, std::size_t workspace);
+  bool IsAtLimit(TimePoint now, std::size_t workspace) const;
   // While no coordinator answers, tokens come from this node's equal part of each limit.
   void OnWithoutCoordinator(TimePoint now, Duration passed, std::size_t nodes);
 
@@ -59,6 +62,8 @@
     double demand = 0;   // requests a second, average
     double arrived = 0;  // since the average was updated
     TimePoint at;
+    double unmet = 0;  // requests that found no token since the last ask
+    TimePoint paused_until{};
   };
   void Update(TimePoint now, Hold& hold);
   std::vector<Hold> m_holds;
--- a/src/mesh_node.cc
+++ b/src/mesh_node.cc
@@ -29,9 +29,8 @@
 constexpr Duration kReportPeriod = std::chrono::milliseconds(400);
 // Urgent reports are this far apart.
 constexpr Duration kUrgentReport = std::chrono::milliseconds(15);
-// Tokens are asked for this often while some are lacking, and after this pause when none were to be had.
+// Tokens are asked for this often while some are lacking, and at once when a request waits for one.
 constexpr Duration kTokenPeriod = std::chrono::milliseconds(200);
-constexpr Duration kTokenPause = std::chrono::milliseconds(250);
 constexpr Duration kReportTimeout = std::chrono::milliseconds(500);
 constexpr Duration kPushTimeout = std::chrono::milliseconds(600);
 // A replica this old is refreshed from any node that answers.
@@ -226,9 +225,7 @@
       }
     };
     hooks.want_tokens = [this] {
-      if (!m_tokens_refused) {
-        m_tokens_at = TimePoint();
-      }
+      m_tokens_at = TimePoint();
       AskForTokens(BootClock::now());
     };
     return hooks;
@@ -511,7 +508,8 @@
     if (m_coordinator.IsCoordinator()) {
       proto::TokenReply reply;
       m_coordinator.OnTokenCall(now, call, &reply);
-      OnTokenReply(reply);
+      // Never from within an admission.
+      asio::post(m_context, [this, call, reply] { OnTokenReply(call, reply); });
       return;
     }
     const proto::MeshMember* member = m_session.View().FindMember(coordinator->node());
@@ -520,27 +518,29 @@
     }
     m_asking_tokens = true;
     m_peers.Call(AddressOf(*member), kTokenPath, call.SerializeAsString(), m_empty, kReportTimeout,
-                 [this](const MeshCallResult& result) {
+                 [this, call](const MeshCallResult& result) {
                    m_asking_tokens = false;
                    proto::TokenReply reply;
                    if (result.outcome == MeshCallOutcome::kAnswered && reply.ParseFromString(result.answer.head)) {
-                     OnTokenReply(reply);
+                     OnTokenReply(call, reply);
                    }
                  });
   }
 
-  void OnTokenReply(const proto::TokenReply& reply) {
+  void OnTokenReply(const proto::TokenCall& call, const proto::TokenReply& reply) {
     const auto config = m_session.View().Config();
-    if (config == nullptr || reply.quota_version() != static_cast<std::int64_t>(config->version)) {
+    if (config == nullptr || reply.quota_version() != static_cast<std::int64_t>(config->version) ||
+        call.quota_version() != reply.quota_version()) {
       return;
     }
-    if (reply.tokens().empty()) {
-      // The workspaces are at their limits; asking again at once gets nothing.
-      m_tokens_at = BootClock::now() + kTokenPause;
-      m_tokens_refused = true;
-      return;
+    const TimePoint now = BootClock::now();
+    for (const proto::TenantDemand& demand : call.demands()) {
+      const bool given = std::any_of(reply.tokens().begin(), reply.tokens().end(),
+                                     [&](const proto::TokenGrant& grant) { return grant.tenant() == demand.tenant(); });
+      if (!given) {
+        m_ingress.Tokens().OnNoneGiven(now, demand.tenant());
+      }
     }
-    m_tokens_refused = false;
     for (const proto::TokenGrant& grant : reply.tokens()) {
       m_ingress.Tokens().Add(grant.tenant(), grant.milli() / 1000.0);
     }
@@ -824,15 +824,22 @@
     const bool due = waited > m_settings.bounds.stop_grace - kStopMargin;
     if (!m_leaving && ((idle && waited > kStopNotice) || due)) {
       m_leaving = true;
-      m_cut = m_ingress.InProgress() + m_target.InProgress();
+      m_leave_by = now + kStopMargin / 2;
+      // A caller that comes while the node says goodbye to the store is refused, not cut.
+      m_ingress.RefuseAll();
+      m_callers.Drain();
       // A lease that may still cover grants runs out by itself.
       if (m_target.HoldsKeys(now)) {
         m_session.StopRenewing();
-        m_context.stop();
-        return true;
+        m_left = true;
+      } else {
+        m_session.Leave([this] { m_left = true; });
       }
-      m_session.Leave([this] { m_context.stop(); });
-      m_timers.At(now + kStopMargin / 2, [this] { m_context.stop(); });
+    }
+    if (m_leaving && ((m_left && idle) || now > m_leave_by)) {
+      m_cut = m_ingress.InProgress() + m_target.InProgress();
+      m_context.stop();
+      return true;
     }
     return false;
   }
@@ -938,7 +945,6 @@
   TimePoint m_coordinator_heard;
   TimePoint m_tokens_at;
   bool m_asking_tokens = false;
-  bool m_tokens_refused = false;
   TimePoint m_ask_at;
   TimePoint m_ticked_at;
   TimePoint m_slow_tick_at;
@@ -947,6 +953,8 @@
   std::optional<TimePoint> m_stopping_since;
   bool m_drained = false;
   bool m_leaving = false;
+  bool m_left = false;
+  TimePoint m_leave_by;
   std::size_t m_cut = 0;
 };
 
--- a/standins/store_standin.cc
+++ b/standins/store_standin.cc
@@ -1,4 +1,5 @@
-// Test program: the platform's store as a subset of the etcd v3 HTTP/JSON interface, with faults on request.
+// Test program: a key-value store with compare-and-swap, leases and watches, with faults on request. One core with two
+// codecs: a subset of the etcd v3 HTTP/JSON interface, and the store of the users' machines.
 
 #include <cstdint>
 #include <deque>
@@ -75,11 +76,19 @@
 };
 
 struct Lease {
-  std::int64_t ttl_seconds = 0;
+  std::chrono::milliseconds ttl{0};
   std::chrono::steady_clock::time_point expires;
   std::set<std::string> keys;
 };
 
+// A watch of the second codec: one answer as soon as there is a change, or at the end of the wait.
+struct Poll {
+  RequestHandle request;
+  std::string prefix;
+  std::int64_t after = 0;
+  std::chrono::steady_clock::time_point until;
+};
+
 struct Watcher {
   std::string key;
   std::string range_end;
@@ -113,7 +122,18 @@
   void Handle(const RequestHandle& request) {
     const std::string path(request->header().path());
     try {
-      if (path == "/-/fault") {
+      if (path == "/-/put") {
+        // What the operator writes.
+        const Json put = Json::parse(request->body());
+        ++m_revision;
+        if (put.contains("value")) {
+          Put(put.at("key").get<std::string>(), put.at("value").get<std::string>(), 0);
+        } else {
+          Delete(put.at("key").get<std::string>());
+        }
+        FeedWatchers();
+        SendJson(request, 200, Json{{"revision", m_revision}});
+      } else if (path == "/-/fault") {
         SetFault(Json::parse(request->body()));
         SendJson(request, 200, Json::object());
       } else if (path == "/-/stats") {
@@ -149,6 +169,10 @@
           watcher.response->done();
         }
         m_watchers.clear();
+        for (Poll& poll : m_polls) {
+          DropConnection(poll.request);
+        }
+        m_polls.clear();
       }
     }
   }
@@ -160,6 +184,10 @@
     }
     try {
       const Json body = request->body().empty() ? Json::object() : Json::parse(request->body());
+      if (path.starts_with("/api/kv-")) {
+        ServeKv(request, path, body);
+        return;
+      }
       if (path == "/v3/watch") {
         Count("watch");
         StartWatch(request, body.at("create_request"));
@@ -184,6 +212,132 @@
     }
   }
 
+  // ---- Codec of the users' machines ----
+
+  void ServeKv(const RequestHandle& request, const std::string& path, const Json& body) {
+    const auto query = restinio::parse_query<restinio::parse_query_traits::relaxed>(request->header().query());
+    const auto number = [&query](const char* name) {
+      return query.has(name) ? std::stoll(std::string(query[name])) : 0;
+    };
+    const std::string prefix = query.has("path_prefix") ? std::string(query["path_prefix"]) : std::string();
+    constexpr std::string_view kKeep = "/api/kv-keep/";
+    constexpr std::string_view kEnd = "/api/kv-lease-end/";
+    if (path == "/api/kv-watch") {
+      Count("watch");
+      StartPoll(Poll{request, prefix, number("after"),
+                     std::chrono::steady_clock::now() + std::chrono::milliseconds(number("wait_ms"))});
+    } else if (path == "/api/kv-range") {
+      Count("range");
+      Json items = Json::array();
+      for (auto it = m_keys.lower_bound(prefix); it != m_keys.end() && it->first.starts_with(prefix); ++it) {
+        items.push_back(KvItem(it->first, it->second));
+      }
+      SendJson(request, 200, Json{{"items", std::move(items)}, {"more_pages", false}, {"current_rev", m_revision}});
+    } else if (path == "/api/kv-txn") {
+      Count("txn");
+      KvTxn(request, body);
+    } else if (path == "/api/kv-lease") {
+      Count("lease_grant");
+      const std::chrono::milliseconds ttl(body.at("ttl_ms").get<std::int64_t>());
+      m_leases[++m_last_lease] = Lease{ttl, std::chrono::steady_clock::now() + ttl, {}};
+      SendJson(request, 200, Json{{"lease", m_last_lease}, {"ttl_ms", ttl.count()}});
+    } else if (path.starts_with(kKeep) || path.starts_with(kEnd)) {
+      const bool keep = path.starts_with(kKeep);
+      Count(keep ? "lease_keepalive" : "lease_revoke");
+      const auto lease = m_leases.find(std::stoll(path.substr(keep ? kKeep.size() : kEnd.size())));
+      if (lease == m_leases.end()) {
+        SendJson(request, 404, Json::object());
+        return;
+      }
+      if (keep) {
+        lease->second.expires = std::chrono::steady_clock::now() + lease->second.ttl;
+      } else {
+        EndLease(lease->first);
+        FeedWatchers();
+      }
+      SendJson(request, 200, Json::object());
+    } else {
+      SendJson(request, 404, Json::object());
+    }
+  }
+
+  static Json KvItem(const std::string& key, const Value& value) {
+    return Json{{"key", key},
+                {"value", Encode(value.value)},
+                {"revision", value.mod_revision},
+                {"created", value.create_revision},
+                {"lease", value.lease}};
+  }
+
+  void KvTxn(const RequestHandle& request, const Json& body) {
+    Json found = Json::array();
+    bool holds = true;
+    for (const Json& row : body.at("precondition")) {
+      const auto it = m_keys.find(row.at("key").get<std::string>());
+      holds = holds && row.at("revision").get<std::int64_t>() == (it == m_keys.end() ? 0 : it->second.mod_revision);
+      if (it != m_keys.end()) {
+        found.push_back(KvItem(it->first, it->second));
+      }
+    }
+    if (!holds) {
+      SendJson(request, 412, Json{{"items", found}, {"current_rev", m_revision}});
+      return;
+    }
+    for (const Json& write : body.at("writes")) {
+      const auto lease = write.value("lease", std::int64_t{0});
+      if (lease != 0 && !m_leases.contains(lease)) {
+        SendJson(request, 404, Json::object());
+        return;
+      }
+    }
+    ++m_revision;
+    for (const Json& write : body.at("writes")) {
+      Put(write.at("key").get<std::string>(), Bytes(write, "value"), write.value("lease", std::int64_t{0}));
+    }
+    for (const Json& key : body.at("remove")) {
+      if (m_keys.contains(key.get<std::string>())) {
+        Delete(key.get<std::string>());
+      }
+    }
+    FeedWatchers();
+    if (m_lose_answers > 0) {
+      --m_lose_answers;
+      DropConnection(request);
+      return;
+    }
+    SendJson(request, 200, Json{{"revision", m_revision}});
+  }
+
+  void StartPoll(Poll poll) {
+    if (poll.after < m_compacted) {
+      SendJson(poll.request, 410, Json::object());
+      return;
+    }
+    m_polls.push_back(std::move(poll));
+    FeedPolls();
+  }
+
+  void FeedPolls() {
+    const auto now = std::chrono::steady_clock::now();
+    m_polls.remove_if([&](const Poll& poll) {
+      Json events = Json::array();
+      for (const Event& event : m_events) {
+        if (event.revision <= poll.after || !event.key.starts_with(poll.prefix)) {
+          continue;
+        }
+        events.push_back(event.deleted ? Json{{"key", event.key}, {"revision", event.revision}, {"removed", true}}
+                                       : KvItem(event.key, event.value));
+      }
+      if (events.empty() && now < poll.until) {
+        return false;
+      }
+      SendJson(poll.request, 200, Json{{"events", std::move(events)}, {"current_rev", m_revision}});
+      return true;
+    });
+  }
+
+  // ---- Codec of etcd ----
+
   Json Call(const std::string& path, const Json& body, bool* writes) {
     if (path == "/v3/kv/range") {
       Count("range");
@@ -344,7 +498,7 @@
       throw Refusal(400, kGrpcInvalidArgument, "etcdserver: lease TTL must be positive");
     }
     const std::int64_t id = Integer(body, "ID") != 0 ? Integer(body, "ID") : ++m_last_lease;
-    m_leases[id] = Lease{ttl, std::chrono::steady_clock::now() + std::chrono::seconds(ttl), {}};
+    m_leases[id] = Lease{std::chrono::seconds(ttl), std::chrono::steady_clock::now() + std::chrono::seconds(ttl), {}};
     return Json{{"header", Header()}, {"ID", std::to_string(id)}, {"TTL", std::to_string(ttl)}};
   }
 
@@ -353,8 +507,8 @@
     Json result = {{"header", Header()}, {"ID", std::to_string(id)}};
     const auto it = m_leases.find(id);
     if (it != m_leases.end()) {
-      it->second.expires = std::chrono::steady_clock::now() + std::chrono::seconds(it->second.ttl_seconds);
-      result["TTL"] = std::to_string(it->second.ttl_seconds);
+      it->second.expires = std::chrono::steady_clock::now() + it->second.ttl;
+      result["TTL"] = std::to_string(std::chrono::duration_cast<std::chrono::seconds>(it->second.ttl).count());
     }
     return Json{{"result", result}};
   }
@@ -396,6 +550,7 @@
 
   // Sends each watcher the events that it has not seen, one message for each revision.
   void FeedWatchers() {
+    FeedPolls();
     for (Watcher& watcher : m_watchers) {
       auto it = std::lower_bound(m_events.begin(), m_events.end(), watcher.next_revision,
                                  [](const Event& event, std::int64_t revision) { return event.revision < revision; });
@@ -455,6 +610,7 @@
   std::deque<Event> m_events;
   std::map<std::int64_t, Lease> m_leases;
   std::list<Watcher> m_watchers;
+  std::list<Poll> m_polls;
   Json m_calls = Json::object();
   std::chrono::milliseconds m_delay{0};
   int m_lose_answers = 0;
--- a/tests/mesh_limits_test.cc
+++ b/tests/mesh_limits_test.cc
@@ -67,6 +67,27 @@
   }
 }
 
+TEST_CASE("a workspace whose requests come all at once is asked for with them") {
+  TokenHolder holder;
+  holder.SetLimits(At(0), Limited(5000, 5000), 5);
+  // Guards against refusals within the rate at the start of a load (process case of the store's absence).
+  int unmet = 0;
+  for (int i = 0; i < 40; ++i) {
+    unmet += holder.Take(At(0), 0) ? 0 : 1;
+  }
+  CHECK(unmet == 40);
+  const auto wanted = holder.Wanted(At(1));
+  REQUIRE(wanted.size() == 1);
+  CHECK(wanted[0].second >= 40);
+  SECTION("at its limit it is not asked for again at once") {
+    holder.OnNoneGiven(At(2), 0);
+    CHECK(holder.IsAtLimit(At(3), 0));
+    CHECK(holder.Wanted(At(3)).empty());
+    CHECK_FALSE(holder.IsAtLimit(At(300), 0));
+    CHECK_FALSE(holder.Wanted(At(300)).empty());
+  }
+}
+
 TEST_CASE("a lower limit takes the tokens of the higher one back") {
   TokenHolder holder;
   holder.SetLimits(At(0), Limited(100, 100), 4);
