--- a/src/mesh_coordinator.cc
+++ b/src/mesh_coordinator.cc
@@ -22,6 +22,8 @@
 constexpr Duration kStoreTrouble = std::chrono::seconds(4);
 // A coordinator that cannot reach the store for this long leaves the role to one that can.
 constexpr Duration kResignAfter = std::chrono::milliseconds(1200);
+constexpr Duration kRenewedLately = std::chrono::milliseconds(1000);
+constexpr Duration kResignRetry = std::chrono::milliseconds(1000);
 constexpr Duration kPushRetry = std::chrono::milliseconds(200);
 // A new coordinator does not know what its predecessor handed out.
 constexpr double kPoolFill = 0.35;
@@ -78,7 +80,10 @@
     }
     return;
   }
-  if (m_store_down && now - m_store_down_since > kResignAfter && !m_electing) {
+  // Only when other nodes still reach the store, which the renewals through them show.
+  const bool others_reach = now - m_session.RenewedAt() < kRenewedLately;
+  if (m_store_down && now - m_store_down_since > kResignAfter && others_reach && now > m_resign_at) {
+    m_resign_at = now + kResignRetry;
     Resign();
     return;
   }
--- a/src/mesh_coordinator_p.h
+++ b/src/mesh_coordinator_p.h
@@ -75,6 +75,7 @@
   bool m_electing = false;
   TimePoint m_since;
   TimePoint m_elect_at;
+  TimePoint m_resign_at;
   TimePoint m_planned_at;
   TimePoint m_store_lost_at;
   TimePoint m_store_down_since;
--- a/src/mesh_node.cc
+++ b/src/mesh_node.cc
@@ -736,7 +736,7 @@
         !m_session.HearsOperator(now)) {
       AskAnyone(now);
     }
-    if (now - m_coordinator_heard > kWithoutCoordinator) {
+    if (!m_session.View().Coordinator().has_value() || now - m_coordinator_heard > kWithoutCoordinator) {
       m_ingress.Tokens().OnWithoutCoordinator(now, now - m_ticked_at, m_session.View().Members().size());
     }
     if (now - m_slow_tick_at > std::chrono::milliseconds(500)) {
--- a/src/mesh_session_p.h
+++ b/src/mesh_session_p.h
@@ -41,6 +41,9 @@
   // Until when the store certainly keeps this node's lease and the node's replica is good enough to act on it.
   TimePoint AuthorityEnd() const;
 
+  // When the last successful renewal of the lease was sent, by whatever way.
+  TimePoint RenewedAt() const { return m_lease_from; }
+
   // Age of the replica: time since it was last known to be complete.
   Duration Age(TimePoint now) const { return now - m_synced_at; }
   // The replica is kept by the coordinator; there is no need to watch the store.
