--- a/src/mesh_coordinator.cc
+++ b/src/mesh_coordinator.cc
@@ -24,6 +24,8 @@
 constexpr Duration kResignAfter = std::chrono::milliseconds(1200);
 constexpr Duration kRenewedLately = std::chrono::milliseconds(1000);
 constexpr Duration kResignRetry = std::chrono::milliseconds(1000);
+// After a write that the store did not take.
+constexpr Duration kFailedWriteRetry = std::chrono::milliseconds(800);
 constexpr Duration kPushRetry = std::chrono::milliseconds(200);
 // A new coordinator does not know what its predecessor handed out.
 constexpr double kPoolFill = 0.35;
@@ -127,7 +129,12 @@
   StoreTxn txn;
   txn.compares.push_back(StoreCompare{CoordinatorKey(), m_session.View().CoordinatorRevision()});
   txn.puts.push_back(StorePut{CoordinatorKey(), record.SerializeAsString(), m_session.Lease()});
-  m_session.Write(std::move(txn), [this](const absl::StatusOr<StoreWrite>& /*written*/) { m_electing = false; });
+  m_session.Write(std::move(txn), [this](const absl::StatusOr<StoreWrite>& written) {
+    m_electing = false;
+    if (!written.ok()) {
+      m_elect_at = BootClock::now() + kFailedWriteRetry;
+    }
+  });
 }
 
 void MeshCoordinatorDuty::Resign() {
@@ -323,6 +330,9 @@
   m_session.Write(std::move(txn), [this, name = service.name, reason = plan.reason, ranges = plan.table.ranges_size(),
                                    fence = plan.table.last_fence()](const absl::StatusOr<StoreWrite>& written) {
     m_planning.erase(name);
+    if (!written.ok()) {
+      m_planned_at = BootClock::now() + kFailedWriteRetry;
+    }
     const bool done = written.ok() && written->succeeded;
     m_log.Write(LogRank::kState, "keys_planned",
                 {{"service", name}, {"reason", reason}, {"ranges", ranges}, {"last_fence", fence}, {"written", done}});
--- a/src/mesh_node.cc
+++ b/src/mesh_node.cc
@@ -50,6 +50,8 @@
 constexpr Duration kStopMargin = std::chrono::milliseconds(700);
 // Releases that end within this time are written together.
 constexpr Duration kReleaseBatch = std::chrono::milliseconds(8);
+// Writes that the store did not take are repeated after this time.
+constexpr Duration kWriteRetry = std::chrono::milliseconds(600);
 constexpr Duration kSettingsCheck = std::chrono::seconds(2);
 constexpr std::size_t kStoreConnections = 8;
 // Tickets of requests that this node sends to its own target; those of other nodes are numbered by their calls.
@@ -92,7 +94,7 @@
                 [this](const HttpMessage& call, Duration timeout, HttpClient::Done done) {
                   return Relay(call, timeout, std::move(done));
                 }),
-        m_session(m_store, *m_wire, m_log, SelfRecord(), m_settings.bounds.min_lease, SessionHooks()),
+        m_session(m_timers, m_store, *m_wire, m_log, SelfRecord(), m_settings.bounds.min_lease, SessionHooks()),
         m_coordinator(m_session, m_log, m_settings.node, m_incarnation, CoordinatorHooks()),
         m_target(m_context, m_timers, *m_wire, m_log, TargetOptions(), TargetHooks()),
         m_ingress(m_timers, *m_wire, m_log, m_metrics, IngressOptions(), IngressHooks()),
@@ -676,6 +678,8 @@
       if (!written.ok()) {
         m_log.Write(LogRank::kFailure, "table_not_written",
                     {{"what", what}, {"why", std::string(written.status().message())}});
+        m_timers.At(BootClock::now() + kWriteRetry, done);
+        return;
       }
       done();
     });
@@ -683,7 +687,12 @@
 
   // Releases that end together are one write.
   void CompleteRelease(const proto::KeyRange& range, const std::string& handover) {
-    m_released.emplace_back(range, handover);
+    const bool known = std::any_of(m_released.begin(), m_released.end(), [&](const auto& waiting) {
+      return waiting.first.first() == range.first() && waiting.first.fence() == range.fence();
+    });
+    if (!known) {
+      m_released.emplace_back(range, handover);
+    }
     if (m_release_timer != 0 || m_writing_releases) {
       return;
     }
--- a/src/mesh_session.cc
+++ b/src/mesh_session.cc
@@ -15,7 +15,10 @@
 constexpr Duration kLeaseMargin = std::chrono::milliseconds(50);
 // All nodes may start at once; their first calls are spread over this time.
 constexpr Duration kStartSpread = std::chrono::milliseconds(150);
-constexpr Duration kRegisterRetry = std::chrono::milliseconds(250);
+// Failed registrations are repeated after a growing time with jitter: when all nodes start at once, their calls can
+// pass the store's limit, and repeats at a fixed pace would keep it there.
+constexpr Duration kRegisterRetry = std::chrono::milliseconds(150);
+constexpr Duration kMostRegisterRetry = std::chrono::milliseconds(1500);
 // A replica that the coordinator has not confirmed for this long is kept by a watch of the node's own.
 constexpr Duration kCoordinatorSilence = std::chrono::milliseconds(1000);
 constexpr Duration kCoordinatorStale = std::chrono::milliseconds(4500);
@@ -26,13 +29,15 @@
 
 }  // namespace
 
-MeshSession::MeshSession(MeshStore& store,
+MeshSession::MeshSession(TimerQueue& timers,
+                         MeshStore& store,
                          const MeshWire& wire,
                          MeshLog& log,
                          proto::MeshMember self,
                          Duration min_lease,
                          MeshSessionHooks hooks)
-    : m_store(store),
+    : m_timers(timers),
+      m_store(store),
       m_log(log),
       m_self(std::move(self)),
       m_hooks(std::move(hooks)),
@@ -95,7 +100,7 @@
   m_store.GrantLease(m_ttl, [this, sent](const absl::StatusOr<std::int64_t>& lease) {
     if (!lease.ok()) {
       m_registering = false;
-      m_register_at = BootClock::now() + kRegisterRetry;
+      m_register_at = BootClock::now() + NextRegisterDelay();
       return;
     }
     m_lease = *lease;
@@ -115,10 +120,18 @@
       m_registering = false;
       return;
     }
+    if (!written.ok() && !absl::IsNotFound(written.status())) {
+      // The lease is good; only the write is repeated.
+      m_timers.At(BootClock::now() + NextRegisterDelay(), [this, lease] {
+        if (lease == m_lease && !m_stopped) {
+          WriteMember();
+        }
+      });
+      return;
+    }
     if (!written.ok()) {
       m_registering = false;
-      LoseLease("the member record was not written");
-      m_register_at = BootClock::now() + kRegisterRetry;
+      LoseLease("the lease ended before the member record was written");
       return;
     }
     if (!written->succeeded) {
@@ -126,11 +139,17 @@
       return;
     }
     m_member_revision = written->revision;
+    m_register_delay = Duration(0);
     m_log.Write(LogRank::kState, "registered", {{"lease", m_lease}, {"revision", m_member_revision}});
     ReadAll();
   });
 }
 
+Duration MeshSession::NextRegisterDelay() {
+  m_register_delay = std::clamp(m_register_delay * 2, kRegisterRetry, kMostRegisterRetry);
+  return m_register_delay / 2 + m_register_delay * (RandomNumber() % 64) / 64;
+}
+
 void MeshSession::ReadAll() {
   for (WatchLoop& loop : m_loops) {
     loop.after = 0;
--- a/src/mesh_session_p.h
+++ b/src/mesh_session_p.h
@@ -11,6 +11,7 @@
 #include "mesh.pb.h"
 #include "mesh_log_p.h"
 #include "mesh_store_p.h"
+#include "mesh_timer_p.h"
 #include "mesh_view_p.h"
 
 namespace magnoliaarch {
@@ -24,7 +25,8 @@
 
 class MeshSession {
  public:
-  MeshSession(MeshStore& store,
+  MeshSession(TimerQueue& timers,
+              MeshStore& store,
               const MeshWire& wire,
               MeshLog& log,
               proto::MeshMember self,
@@ -74,6 +76,7 @@
 
   void Register();
   void WriteMember();
+  Duration NextRegisterDelay();
   void Renew(TimePoint now);
   void LoseLease(std::string_view why);
   void ReadAll();
@@ -82,6 +85,7 @@
   void NoteWatchProgress(TimePoint now);
   void Fail(WatchLoop& loop, const absl::Status& status);
 
+  TimerQueue& m_timers;
   MeshStore& m_store;
   MeshLog& m_log;
   proto::MeshMember m_self;
@@ -96,6 +100,7 @@
   bool m_renewing = false;
   bool m_stopped = false;
   TimePoint m_register_at;
+  Duration m_register_delay{};
   WatchLoop m_loops[2];
   bool m_must_watch = true;
   bool m_watching = false;
--- a/src/mesh_store.cc
+++ b/src/mesh_store.cc
@@ -16,6 +16,9 @@
 // After a failure calls go through another node first for this long, but for an occasional attempt.
 constexpr Duration kAvoidAfterFailure = std::chrono::milliseconds(1500);
 
+// When another node fails to reach the store too, the store is away or at its limit; more calls would only add to that.
+constexpr Duration kRelayPause = std::chrono::milliseconds(1000);
+
 constexpr int kTooManyRequests = 429;
 constexpr int kServiceUnavailable = 503;
 
@@ -87,25 +90,36 @@
   });
 }
 
+bool MeshStore::TryRelay(const HttpMessage& call, HttpClient::Done done) {
+  if (BootClock::now() < m_no_relay_until) {
+    return false;
+  }
+  const bool asked = m_relay(call, kRelayTimeout, [this, done = std::move(done)](HttpResult result) {
+    if (!IsUseful(result)) {
+      m_no_relay_until = BootClock::now() + kRelayPause;
+    }
+    done(std::move(result));
+  });
+  m_relayed += asked ? 1 : 0;
+  return asked;
+}
+
 void MeshStore::Call(HttpMessage call, Repeat repeat, HttpClient::Done done) {
   const bool avoid = !m_reachable && BootClock::now() - m_failed_at < kAvoidAfterFailure;
-  if (avoid && m_relay(call, kRelayTimeout, [this, call, done](HttpResult result) {
+  if (avoid && TryRelay(call, [this, call, done](HttpResult result) {
         if (IsUseful(result) || !IsWithoutEffect(result)) {
           done(std::move(result));
         } else {
           CallDirectly(call, kCallTimeout, done);
         }
       })) {
-    ++m_relayed;
     return;
   }
   CallDirectly(call, kCallTimeout, [this, call, repeat, done](HttpResult result) {
     const bool may_repeat = !IsUseful(result) && (IsWithoutEffect(result) || repeat == Repeat::kSafe);
-    if (may_repeat && m_relay(call, kRelayTimeout, done)) {
-      ++m_relayed;
-      return;
+    if (!may_repeat || !TryRelay(call, done)) {
+      done(std::move(result));
     }
-    done(std::move(result));
   });
 }
 
--- a/src/mesh_store_p.h
+++ b/src/mesh_store_p.h
@@ -57,8 +57,12 @@
   Relay m_relay;
   HttpClient m_client;
   std::string m_host;
+  // Calls `relay` for the call unless other nodes could not reach the store either a moment ago.
+  bool TryRelay(const HttpMessage& call, HttpClient::Done done);
+
   bool m_reachable = true;
   TimePoint m_failed_at;
+  TimePoint m_no_relay_until;
   std::uint64_t m_calls = 0;
   std::uint64_t m_relayed = 0;
 };
