--- a/src/mesh_limits.cc
+++ b/src/mesh_limits.cc
@@ -15,8 +15,10 @@
 // One node gets at most this many equal parts of a pool at a time, so that others find some left.
 constexpr double kMostParts = 3;
 constexpr Duration kLimitPause = std::chrono::milliseconds(250);
-// Part of the whole budget that nodes plan with; the rest covers calls of repeated runs and nodes that come and go.
-constexpr double kBudgetShare = 0.5;
+// Part of the whole budget that nodes plan with. The rest covers nodes that come and go, and the calls of repeated
+// runs, which count as repeats at the service that is called: with half of the budget in use at two services, 1.4 calls
+// a run took the second one over its bound.
+constexpr double kBudgetShare = 0.35;
 
 double Seconds(Duration duration) {
   return std::chrono::duration<double>(duration).count();
--- a/src/mesh_target.cc
+++ b/src/mesh_target.cc
@@ -562,11 +562,10 @@
              release.range.fence() == range.fence();
     });
     // Keys that an open grant could still take back stay here, without renewal, until it has lapsed.
-    const bool waits =
-        range.has_successor() && !released && known != nullptr && HasOpenGrant(range.first(), range.last(), now);
+    const bool waits = range.has_successor() && !released && HasOpenGrant(range.first(), range.last(), now);
     if (range.has_successor() && !waits) {
       still_released.push_back(range.first());
-      TimePoint lapses = now < m_earlier_grants_lapse ? m_earlier_grants_lapse : TimePoint();
+      TimePoint lapses;
       for (const Grant& grant : m_grants) {
         if (grant.first <= range.last() && range.first() <= grant.last) {
           lapses = std::max(lapses, grant.lapses);
@@ -587,6 +586,9 @@
     grant.fence = range.fence();
     grant.handover = range.handover();
     grant.gives_away = waits;
+    if (waits) {
+      grant.lapses = std::max(grant.lapses, m_earlier_grants_lapse);
+    }
     grants.push_back(std::move(grant));
   }
   std::erase_if(m_releases, [&](const Release& release) {
@@ -718,9 +720,11 @@
 }
 
 bool MeshTarget::HasOpenGrant(std::uint32_t first, std::uint32_t last, TimePoint now) const {
-  return std::any_of(m_open_grants.begin(), m_open_grants.end(), [&](const OpenGrant& open) {
-    return open.first <= last && first <= open.last && open.lapses > now;
-  });
+  // Grants of an earlier run may be open as well.
+  return now < m_earlier_grants_lapse ||
+         std::any_of(m_open_grants.begin(), m_open_grants.end(), [&](const OpenGrant& open) {
+           return open.first <= last && first <= open.last && open.lapses > now;
+         });
 }
 
 void MeshTarget::SendRelease(Release& release, TimePoint now) {
--- a/tests/mesh_limits_test.cc
+++ b/tests/mesh_limits_test.cc
@@ -114,6 +114,26 @@
   CHECK(taken <= 104);
 }
 
+// Guards against BUDGET (kamuiwappen hunt, scale-1 414204855134): repeats at one service whose runs call another count
+// there too, so both budgets together have to fit into one.
+TEST_CASE("repeats at a service and at its callers fit into one budget") {
+  constexpr int kNodes = 12;
+  constexpr double kCallsOfARun = 1.4;
+  std::vector<RepeatBudget> callers(kNodes, RepeatBudget(0.2, 64, seconds(10)));
+  std::vector<RepeatBudget> called(kNodes, RepeatBudget(0.2, 64, seconds(10)));
+  double repeats = 0;
+  int requests = 0;
+  for (int ms = 0; ms < 10000; ms += 5) {
+    const auto node = static_cast<std::size_t>(ms / 5 % kNodes);
+    callers[node].OnRequest(At(ms));
+    called[node].OnRequest(At(ms));
+    ++requests;
+    repeats += callers[node].Take(At(ms), 1.3, kNodes) ? kCallsOfARun : 0;
+    repeats += called[node].Take(At(ms), 1.3, kNodes) ? 1 : 0;
+  }
+  CHECK(repeats <= 0.2 * requests + 64);
+}
+
 TEST_CASE("repeats of all nodes keep within one budget") {
   constexpr int kNodes = 8;
   std::vector<RepeatBudget> budgets(kNodes, RepeatBudget(0.2, 64, seconds(10)));
--- a/tests/mesh_target_test.cc
+++ b/tests/mesh_target_test.cc
@@ -293,8 +293,9 @@
   node.Configure();
   REQUIRE(node.Beat(1, 1).ok());
   // Guards against two holders: kamuiwappen trouble-2, a stopped node started again while its keys were moving away.
-  SECTION("keys that move away are released, or waited for") {
-    node.target_server.answer_releases = false;
+  // An answered release is not enough: sofia hunt, late-orders-while-moving 974128283316, a grant of the earlier run
+  // was carried out after it.
+  SECTION("keys that move away wait until such grants have lapsed") {
     const TimePoint start = BootClock::now();
     node.Own(3, 1, true);
     REQUIRE(node.Until([&] { return !node.released.empty(); }));
