Open listening sockets in one place; remove what nothing calls

The server and the peer streams each bound their acceptor with the same lines; both call Listen now. HttpClient::Opened, MeshTarget::HasLife, MeshTarget::ConnectionsOpened and MeshPeers::Drain had no caller. Behaviour is as before.

--- a/src/http1.cc
+++ b/src/http1.cc
@@ -18,6 +18,29 @@
   socket.set_option(asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>(ms), ignored);
 }
 
+absl::Status Listen(asio::ip::tcp::acceptor& acceptor, const std::string& ip, std::uint16_t port) {
+  // Connections that wait to be accepted.
+  constexpr int kBacklog = 1024;
+  asio::error_code error;
+  const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(ip, error), port);
+  if (!error) {
+    acceptor.open(endpoint.protocol(), error);
+  }
+  if (!error) {
+    acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true), error);
+  }
+  if (!error) {
+    acceptor.bind(endpoint, error);
+  }
+  if (!error) {
+    acceptor.listen(kBacklog, error);
+  }
+  if (error) {
+    return absl::UnavailableError(fmt::format("cannot listen on {}:{}: {}", ip, port, error.message()));
+  }
+  return absl::OkStatus();
+}
+
 Http1Parser::Http1Parser(http_parser_type type, Limits limits, std::function<bool(HttpMessage)> on_message)
     : m_limits(limits), m_on_message(std::move(on_message)) {
   http_parser_init(&m_parser, type);
--- a/src/http1_client.cc
+++ b/src/http1_client.cc
@@ -280,7 +280,6 @@
       });
       return call;
     }
-    ++m_opened;
     connection = std::make_shared<Connection>(*this, m_alive);
   }
   m_busy.emplace(call, connection);
--- a/src/http1_p.h
+++ b/src/http1_p.h
@@ -203,7 +203,6 @@
   void CloseIdle(TimePoint now);
   void CloseAll();
   std::size_t Open() const;
-  std::uint64_t Opened() const { return m_opened; }
 
  private:
   class Connection;
@@ -215,10 +214,12 @@
   std::vector<std::shared_ptr<Connection>> m_idle;
   std::unordered_map<std::uint64_t, std::shared_ptr<Connection>> m_busy;
   std::uint64_t m_last_call = 0;
-  std::uint64_t m_opened = 0;
   std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
+// Binds the address and listens on it.
+absl::Status Listen(asio::ip::tcp::acceptor& acceptor, const std::string& ip, std::uint16_t port);
+
 // Bounds how long a connection may go unacknowledged by the other side.
 void SetUserTimeout(asio::ip::tcp::socket& socket, Duration timeout);
 
--- a/src/http1_server.cc
+++ b/src/http1_server.cc
@@ -242,23 +242,9 @@
 }
 
 absl::Status Http1Server::Start() {
-  asio::error_code error;
-  const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(m_options.ip, error), m_options.port);
-  if (!error) {
-    m_acceptor.open(endpoint.protocol(), error);
-  }
-  if (!error) {
-    m_acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true), error);
-  }
-  if (!error) {
-    m_acceptor.bind(endpoint, error);
-  }
-  if (!error) {
-    m_acceptor.listen(1024, error);
-  }
-  if (error) {
-    return absl::UnavailableError(
-        fmt::format("cannot listen on {}:{}: {}", m_options.ip, m_options.port, error.message()));
+  const absl::Status status = Listen(m_acceptor, m_options.ip, m_options.port);
+  if (!status.ok()) {
+    return status;
   }
   Accept();
   return absl::OkStatus();
--- a/src/mesh_peers.cc
+++ b/src/mesh_peers.cc
@@ -54,22 +54,9 @@
 }
 
 absl::Status MeshPeers::Start() {
-  asio::error_code error;
-  const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(m_ip, error), m_port);
-  if (!error) {
-    m_acceptor.open(endpoint.protocol(), error);
-  }
-  if (!error) {
-    m_acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true), error);
-  }
-  if (!error) {
-    m_acceptor.bind(endpoint, error);
-  }
-  if (!error) {
-    m_acceptor.listen(1024, error);
-  }
-  if (error) {
-    return absl::UnavailableError(fmt::format("cannot listen on {}:{}: {}", m_ip, m_port, error.message()));
+  const absl::Status status = Listen(m_acceptor, m_ip, m_port);
+  if (!status.ok()) {
+    return status;
   }
   Accept();
   return absl::OkStatus();
@@ -360,12 +347,4 @@
   }
 }
 
-void MeshPeers::Drain() {
-  asio::error_code ignored;
-  m_acceptor.close(ignored);
-  for (auto& [id, served] : m_served) {
-    served.session->GoAway();
-  }
-}
-
 }  // namespace magnoliaarch
--- a/src/mesh_peers_p.h
+++ b/src/mesh_peers_p.h
@@ -66,8 +66,6 @@
 
   // Pings silent connections and closes those that stay silent. Called periodically.
   void OnTick(TimePoint now);
-  // Tells clients to send new streams elsewhere.
-  void Drain();
   std::size_t Connections() const { return m_links.size(); }
 
  private:
--- a/src/mesh_target_p.h
+++ b/src/mesh_target_p.h
@@ -73,9 +73,7 @@
   bool HoldsKeys(TimePoint now) const;
   std::size_t InProgress() const { return m_work.size(); }
   const MeshGate& Gate() const { return m_gate; }
-  bool HasLife() const { return m_life.has_value(); }
   std::string DescribeState(TimePoint now) const;
-  std::uint64_t ConnectionsOpened() const { return m_client.Opened(); }
 
  private:
   struct Work {
