Give each test node ports that no other program can take before it starts

In 34 of 2,000 draws of 25 such ports two were equal (1.7% a case, 16 cases a run); a node then ends at its start and the case waits 15 s for it. Shown by giving the 12th port of that case the number of the first: the same message. Ruled out: four repeats of the case on an idle machine passed, so the case itself is not at fault.

Ports now lie below the ephemeral range and are given once, and a node that ends before it is ready fails the case at once with its code and the end of its log. All 16 cases of tests/mesh_process_tests.py passed once after the change.

--- a/tests/mesh_process_tests.py
+++ b/tests/mesh_process_tests.py
@@ -10,6 +10,7 @@
 import json
 import os
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -31,10 +32,30 @@
 DOMAINS = ["a", "b", "c"]
 
 
-def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+class PortPicker:
+    """Listening ports that no other node of the test gets and that no outgoing connection can take before the node starts:
+    they lie below the kernel's ephemeral range. A port asked for with number 0 and closed again may be given twice."""
+
+    LOWEST, HIGHEST = 20000, 32000
+
+    def __init__(self):
+        self.next = random.randrange(self.LOWEST, self.HIGHEST)
+
+    def pick(self):
+        for _ in range(self.HIGHEST - self.LOWEST):
+            port = self.next
+            self.next = self.LOWEST if port + 1 >= self.HIGHEST else port + 1
+            with socket.socket() as probe:
+                probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                try:
+                    probe.bind(("127.0.0.1", port))
+                    return port
+                except OSError:
+                    continue  # another program of this machine has it
+        raise RuntimeError("no free port")
+
+
+PORTS = PortPicker()
 
 
 class Target:
@@ -152,7 +173,7 @@
 
     def __init__(self, mesh, name, domain, target):
         self.mesh, self.name, self.domain, self.target = mesh, name, domain, target
-        self.ports = {kind: free_port() for kind in ("ingress", "ready", "peer", "metrics", "registration")}
+        self.ports = {kind: PORTS.pick() for kind in ("ingress", "ready", "peer", "metrics", "registration")}
         self.settings = mesh.folder / f"{name}.ini"
         self.settings.write_text(self.settings_text())
         target.registration = self.ports["registration"]
@@ -202,6 +223,9 @@
         self.child.kill()
         self.child.wait()
 
+    def log_end(self):
+        return (self.mesh.folder / f"{self.name}.log").read_text(errors="replace")[-600:]
+
     def status(self):
         return call(self.ports["metrics"], "GET", "/status", timeout=2).json()
 
@@ -256,12 +280,18 @@
             node.start()
         for target in self.targets:
             threading.Thread(target=target.beat, daemon=True).start()
-        wait_until(lambda: all(node.is_ready() for node in self.nodes), "all nodes are ready", 15)
+        wait_until(self.all_ready, "all nodes are ready", 15)
         wait_until(lambda: all(self.serves(node, "look", key) for node in self.nodes for key in (0, 30000, 65535)),
                    "all keys are served", 15)
         wait_until(lambda: all(self.serves(node, "read") for node in self.nodes), "balanced requests are served", 15)
         return self
 
+    def all_ready(self):
+        for node in self.nodes:
+            if node.child.poll() is not None:
+                raise RuntimeError(f"{node.name} ended with code {node.child.returncode}: {node.log_end()}")
+        return all(node.is_ready() for node in self.nodes)
+
     def __exit__(self, *_exc):
         for node in self.nodes:
             if node.child is not None and node.child.poll() is None:
