Take a refused connection as a target's end only when nothing else speaks against it

The node took the refused connection as its end and dropped the grants; the coordinator gave the keys on while the target held them for 0.6 s, or still worked on a confirmation. Now a stopping node sends nothing new to its target once the others have been told; what runs ends within the grace. - A grant under an older fence is no longer forgotten when the fence of its range changes.

--- a/src/http1_client.cc
+++ b/src/http1_client.cc
@@ -82,7 +82,7 @@
     Close();
   }
 
-  bool IsOpen() const { return m_open; }
+  bool IsConnected() const { return m_open && m_connected; }
   bool IsUsable(TimePoint now) const { return m_open && now < m_idle_until; }
 
  private:
@@ -331,8 +331,10 @@
   }
 }
 
-std::size_t HttpClient::Open() const {
-  return m_idle.size() + m_busy.size();
+std::size_t HttpClient::Connected() const {
+  const auto connected = std::count_if(m_busy.begin(), m_busy.end(),
+                                       [](const auto& busy) { return busy.second->IsConnected(); });
+  return m_idle.size() + static_cast<std::size_t>(connected);
 }
 
 }  // namespace magnoliaarch
--- a/src/http1_p.h
+++ b/src/http1_p.h
@@ -202,7 +202,8 @@
 
   void CloseIdle(TimePoint now);
   void CloseAll();
-  std::size_t Open() const;
+  // Established connections, idle or in use. A server that ended has none.
+  std::size_t Connected() const;
 
  private:
   class Connection;
--- a/src/mesh_node.cc
+++ b/src/mesh_node.cc
@@ -843,6 +843,10 @@
       HandTargetOver(now);
     }
     const bool handed_over = m_handed_over_at && now - *m_handed_over_at > kStopTold;
+    if (handed_over) {
+      // Without another owner requests go on to arrive here; those that begin now could be cut by the end.
+      m_target.RefuseNew();
+    }
     const bool idle =
         handed_over && m_ingress.InProgress() == 0 && m_target.InProgress() == 0 && m_callers.InProgress() == 0;
     const bool due = waited > m_settings.bounds.stop_grace - kStopMargin;
--- a/src/mesh_target.cc
+++ b/src/mesh_target.cc
@@ -106,6 +106,9 @@
   if (!m_life || m_ended || m_suspect || m_unconfirmed || Service() == nullptr) {
     return proto::MESH_TARGET_DOWN;
   }
+  if (m_refuses_new) {
+    return proto::MESH_DRAINING;
+  }
   const bool balanced_leave = (m_leaving_since || m_evacuated_since) && !IsSharded();
   if (balanced_leave || now >= ServeEnd()) {
     return proto::MESH_DRAINING;
@@ -325,7 +328,7 @@
     case HttpOutcome::kRefused:
       answer.set_outcome(proto::MESH_NOT_RUN);
       answer.set_reason(proto::MESH_TARGET_DOWN);
-      OnEnded(result.detail);
+      OnRefused();
       break;
     case HttpOutcome::kNotConnected:
       answer.set_outcome(proto::MESH_NOT_RUN);
@@ -496,6 +499,25 @@
   m_client.CloseIdle(TimePoint::max());
 }
 
+void MeshTarget::OnContact() {
+  m_last_contact = BootClock::now();
+  m_refused = false;
+}
+
+void MeshTarget::OnRefused() {
+  if (m_leaving_since || m_client.Connected() > 0) {
+    if (!m_refused) {
+      m_log.Write(LogRank::kState, "target_refuses_connections",
+                  {{"id", m_life ? m_life->id : ""},
+                   {"leaving", m_leaving_since.has_value()},
+                   {"connections", m_client.Connected()}});
+    }
+    m_refused = true;
+    return;
+  }
+  OnEnded("its address refuses connections");
+}
+
 void MeshTarget::OnEnded(std::string_view why) {
   if (m_ended || !m_life) {
     return;
@@ -565,13 +587,7 @@
     const bool waits = range.has_successor() && !released && HasOpenGrant(range.first(), range.last(), now);
     if (range.has_successor() && !waits) {
       still_released.push_back(range.first());
-      TimePoint lapses;
-      for (const Grant& grant : m_grants) {
-        if (grant.first <= range.last() && range.first() <= grant.last) {
-          lapses = std::max(lapses, grant.lapses);
-        }
-      }
-      StartRelease(range, lapses, now);
+      StartRelease(range, LapseOf(range.first(), range.last()), now);
       continue;
     }
     Grant grant;
@@ -585,6 +601,8 @@
     grant.last = range.last();
     grant.fence = range.fence();
     grant.handover = range.handover();
+    // Under whichever fence the target was granted these keys, it may hold them until that lapses.
+    grant.lapses = std::max(grant.lapses, LapseOf(range.first(), range.last()));
     grant.gives_away = waits;
     if (waits) {
       grant.lapses = std::max(grant.lapses, m_earlier_grants_lapse);
@@ -606,6 +624,16 @@
   }
 }
 
+TimePoint MeshTarget::LapseOf(std::uint32_t first, std::uint32_t last) const {
+  TimePoint lapses;
+  for (const Grant& grant : m_grants) {
+    if (grant.first <= last && first <= grant.last) {
+      lapses = std::max(lapses, grant.lapses);
+    }
+  }
+  return lapses;
+}
+
 void MeshTarget::AskGrant(Grant& grant, TimePoint now) {
   const Duration vouched = m_hooks.authority_end() - now - kCallDelay;
   const auto most = Duration(static_cast<Duration::rep>(static_cast<double>(vouched.count()) / (1 + kClockDrift)));
@@ -639,8 +667,10 @@
   const auto it = std::find_if(m_grants.begin(), m_grants.end(),
                                [&](const Grant& grant) { return grant.first == first && grant.fence == fence; });
   if (result.outcome == HttpOutcome::kRefused) {
-    OnEnded("its address refuses connections");
-    return;
+    OnRefused();
+    if (m_ended) {
+      return;
+    }
   }
   if (result.outcome == HttpOutcome::kAnswered) {
     OnContact();
@@ -760,6 +790,9 @@
 }
 
 void MeshTarget::OnTick(TimePoint now) {
+  if (m_refused && !m_leaving_since && m_client.Connected() == 0) {
+    OnEnded("its address refuses connections, and none is left");
+  }
   if (m_life && !m_ended && !m_suspect && m_failures >= kFailuresOfSilence && now - m_last_contact > kSilence) {
     m_suspect = true;
     m_log.Write(LogRank::kState, "target_silent", {{"id", m_life->id}, {"since_ms", now - m_last_contact}});
--- a/src/mesh_target_p.h
+++ b/src/mesh_target_p.h
@@ -67,6 +67,8 @@
   void OnTick(TimePoint now);
   // The node stops: keys move away, requests in progress end.
   void SetStopping();
+  // The node ends soon: nothing new is sent to the target, requests in progress end.
+  void RefuseNew() { m_refuses_new = true; }
 
   proto::TargetReport Report(TimePoint now);
   // Whether the target may still hold keys by grants of this node.
@@ -133,13 +135,18 @@
   void ArmGate();
   void RetryHeld();
   void Reconcile(TimePoint now);
+  // When the last grant of any of these keys has certainly lapsed.
+  TimePoint LapseOf(std::uint32_t first, std::uint32_t last) const;
   void AskGrant(Grant& grant, TimePoint now);
   void OnGrantResult(std::uint32_t first, std::uint64_t fence, TimePoint sent, Duration hold, const HttpResult& result);
   void StartRelease(const proto::KeyRange& range, TimePoint lapses, TimePoint now);
   void SendRelease(Release& release, TimePoint now);
   // Whether a grant of some of these keys may still take effect.
   bool HasOpenGrant(std::uint32_t first, std::uint32_t last, TimePoint now) const;
-  void OnContact() { m_last_contact = BootClock::now(); }
+  void OnContact();
+  // Its address takes no new connection. That proves its end only if no established connection is left, and never for a
+  // target that leaves, which may close its port first.
+  void OnRefused();
   void OnEnded(std::string_view why);
   void BeginLife(const TargetBeat& beat);
   // The cold limit by the present configuration.
@@ -159,6 +166,8 @@
   bool m_suspect = false;      // nothing was heard of it for a while
   bool m_unconfirmed = false;  // another life may have the address; the next beat tells
   bool m_stopping = false;
+  bool m_refuses_new = false;
+  bool m_refused = false;  // a connection was refused since the last contact
   std::optional<TimePoint> m_leaving_since;
   std::optional<TimePoint> m_evacuated_since;
   TimePoint m_cold_until;  // as the target said, or as may be
--- a/tests/mesh_target_test.cc
+++ b/tests/mesh_target_test.cc
@@ -15,7 +15,7 @@
 class FakeTarget {
  public:
   explicit FakeTarget(asio::io_context& context)
-      : m_server(
+      : m_server(std::make_unique<Http1Server>(
             context,
             Http1ServerOptions{"127.0.0.1", 0},
             [this](const std::shared_ptr<HttpExchange>& exchange) { Handle(exchange); },
@@ -23,10 +23,10 @@
               HttpMessage answer;
               answer.status = 400;
               return answer;
-            }) {
-    REQUIRE(m_server.Start().ok());
+            })) {
+    REQUIRE(m_server->Start().ok());
   }
-  std::uint16_t Port() const { return m_server.Port(); }
+  std::uint16_t Port() const { return m_server->Port(); }
 
   bool answer_grants = true;
   bool answer_releases = true;
@@ -35,10 +35,14 @@
   std::vector<std::string> events;                     // "grant FIRST FENCE", "release FIRST FENCE", "run ID"
   std::vector<std::shared_ptr<HttpExchange>> waiting;  // requests that run
 
+  // Takes no new connections; open ones go on.
+  void StopListening() { m_server->StopAccepting(); }
   int Count(const std::string& prefix) const {
     return static_cast<int>(std::count_if(events.begin(), events.end(),
                                           [&](const std::string& event) { return event.starts_with(prefix); }));
   }
+  // Ends as a crashed process does: all connections go.
+  void EndAll() { m_server.reset(); }
   void AnswerAll() {
     for (const auto& exchange : std::exchange(waiting, {})) {
       HttpMessage answer;
@@ -78,7 +82,7 @@
     waiting.push_back(exchange);
   }
 
-  Http1Server m_server;
+  std::unique_ptr<Http1Server> m_server;
   std::vector<std::shared_ptr<HttpExchange>> m_unanswered;
 };
 
@@ -282,6 +286,46 @@
     CHECK(BootClock::now() - start > milliseconds(1000));
     CHECK(node.released[0].second.empty());
   }
+  // Guards against two holders: sofia hunt, mix 53758670250, a target that began to drain closed its port, and its keys
+  // were given on while it served on and held them.
+  SECTION("a target that leaves and takes no new connections keeps its keys until they lapse") {
+    node.Send(1, true, true);
+    REQUIRE(node.Until([&] { return node.target_server.Count("run") == 1; }));
+    node.target_server.StopListening();
+    REQUIRE(node.Beat(1, 2, 0, true).ok());
+    const TimePoint start = BootClock::now();
+    node.Own(3, 1, true);
+    node.Send(2, true, true);
+    REQUIRE(node.Until([&] { return !node.released.empty(); }));
+    CHECK(BootClock::now() - start > milliseconds(1000));
+    CHECK_FALSE(node.target.Report(start + milliseconds(500)).gone());
+  }
+  // Guards against keys of a running target that are given on because it refuses one connection more.
+  SECTION("a target with an open connection has not ended") {
+    node.Send(1, true, true);
+    REQUIRE(node.Until([&] { return node.target_server.Count("run") == 1; }));
+    node.target_server.StopListening();
+    node.Send(2, true, true);
+    REQUIRE(node.Until([&] { return node.answers.contains(2); }));
+    CHECK(node.answers[2].reason() == proto::MESH_TARGET_DOWN);
+    CHECK_FALSE(node.target.Report(BootClock::now()).gone());
+    // Its last connection ends: now it has.
+    node.target_server.EndAll();
+    REQUIRE(node.Until([&] { return node.target.Report(BootClock::now()).gone(); }, milliseconds(800)));
+  }
+  // Guards against a grant under an older fence that is forgotten when the fence of its range changes.
+  SECTION("keys whose fence has changed are held until the older grant has lapsed") {
+    // A life that began under this node has no grants of an earlier run.
+    REQUIRE(node.Beat(2, 1).ok());
+    node.Own(5, 2);
+    REQUIRE(node.Until([&] { return node.target_server.Count("grant 0 5") == 1; }));
+    node.Until([] { return false; }, milliseconds(20));
+    node.authority_end = BootClock::now();
+    node.Own(6, 2);
+    CHECK(node.target.HoldsKeys(BootClock::now()));
+    node.Own(6, 2, true);
+    CHECK(node.released.empty());
+  }
   SECTION("what may still hold is known") {
     CHECK(node.target.HoldsKeys(BootClock::now()));
     CHECK_FALSE(node.target.HoldsKeys(BootClock::now() + std::chrono::seconds(3)));
@@ -400,6 +444,20 @@
     CHECK(gone == 1);
     CHECK(node.target.Gate().Running() == 1);
   }
+  // Guards against requests that the end of a stopping node cuts: sofia hunt, trouble-1 871265432711, no other target
+  // could take the keys of a stopping node's target, and requests went on to arrive there.
+  SECTION("a node that ends soon sends nothing new, and what runs ends") {
+    node.Send(1, true, false);
+    REQUIRE(node.Until([&] { return node.target_server.Count("run") == 1; }));
+    node.target.RefuseNew();
+    node.Send(2, true, false);
+    REQUIRE(node.Until([&] { return node.answers.contains(2); }));
+    CHECK(node.answers[2].reason() == proto::MESH_DRAINING);
+    node.target_server.AnswerAll();
+    REQUIRE(node.Until([&] { return node.answers.contains(1); }));
+    CHECK(node.answers[1].outcome() == proto::MESH_ANSWERED);
+    CHECK(node.target_server.Count("run") == 1);
+  }
   SECTION("a target whose address refuses connections has ended") {
     Fixture other("ledger");
     other.Configure();
