Refuse at once when a service has been without targets for a while

Ruled out: late return of keys (granted 2.1 s after the power came back) and false limits (the refused workspace was over its rate). Now a request waits only while a target may come back, 1.5 s after the last was seen.

The new ingress tests play the other nodes; the section on this case failed before the change (282 ms against 100 ms).

--- a/src/mesh_choice.cc
+++ b/src/mesh_choice.cc
@@ -25,6 +25,9 @@
 // Equal targets are chosen in turn.
 constexpr double kSpread = 0.05;
 
+// A target that starts again, or whose node does, is back within about this time.
+constexpr Duration kReturn = std::chrono::milliseconds(1500);
+
 double Seconds(Duration duration) {
   return std::chrono::duration<double>(duration).count();
 }
@@ -82,7 +85,17 @@
       best_cost = cost;
     }
   }
+  if (!best.empty()) {
+    m_without_since.erase(service);
+  } else if (excluded.empty()) {
+    m_without_since.try_emplace(service, now);
+  }
   return best;
 }
 
+bool TargetChooser::IsWithoutTarget(const std::string& service, TimePoint now) const {
+  const auto since = m_without_since.find(service);
+  return since != m_without_since.end() && now - since->second > kReturn;
+}
+
 }  // namespace magnoliaarch
--- a/src/mesh_choice_p.h
+++ b/src/mesh_choice_p.h
@@ -46,6 +46,9 @@
                    const std::set<std::string>& excluded,
                    TimePoint now);
 
+  // Whether the service has been without a target for so long that one is not expected within a request's time.
+  bool IsWithoutTarget(const std::string& service, TimePoint now) const;
+
  private:
   double NextRandom();
 
@@ -53,6 +56,7 @@
   const double m_domain_preference;
   std::map<std::string, TargetHint> m_hints;
   std::unordered_map<std::string, double> m_route_s;  // mean time of a route's requests at any target
+  std::unordered_map<std::string, TimePoint> m_without_since;  // services for which none was found
   std::uint64_t m_random;
 };
 
--- a/src/mesh_ingress.cc
+++ b/src/mesh_ingress.cc
@@ -291,7 +291,9 @@
   Flow& flow = m_flows.at(id);
   const TimePoint now = BootClock::now();
   const TimePoint end = std::min(std::max(flow.objective, flow.received + kLateHold), flow.expires);
-  if (now + kLeastTryTime >= end || flow.tries >= kMostTries) {
+  // A call that waits in vain also holds the slot of the request that makes it.
+  const bool in_vain = !flow.sharded && m_chooser.IsWithoutTarget(flow.request.service(), now);
+  if (in_vain || now + kLeastTryTime >= end || flow.tries >= kMostTries) {
     if (flow.fallback) {
       Deliver(id, std::move(*flow.fallback), "target-failed");
     } else if (flow.may_have_run && !flow.route->idempotent) {
--- a/tests/mesh_choice_test.cc
+++ b/tests/mesh_choice_test.cc
@@ -73,6 +73,20 @@
     // What is known grows old; the target is tried again.
     CHECK(f.Favourite("lookup", At(60'000)) == "near");
   }
+  // Guards against calls that wait in vain in a service whose domains are all taken out (sofia hunt, trouble-1
+  // 581097757937: the slots of the calling targets were held meanwhile).
+  SECTION("a service without a target is known as such after a while, and until one is back") {
+    f.chooser.HintOf("near").accepts = f.chooser.HintOf("far").accepts = false;
+    const auto pick = [&f](int ms) { return f.chooser.Pick(f.view, "archive", "lookup", kObjective, {}, At(ms)); };
+    CHECK(pick(1000).empty());
+    CHECK_FALSE(f.chooser.IsWithoutTarget("archive", At(2000)));
+    CHECK(pick(2400).empty());
+    CHECK(f.chooser.IsWithoutTarget("archive", At(2600)));
+    CHECK_FALSE(f.chooser.IsWithoutTarget("desk", At(2600)));
+    f.chooser.HintOf("far").accepts = true;
+    CHECK(pick(2700) == "far");
+    CHECK_FALSE(f.chooser.IsWithoutTarget("archive", At(2700)));
+  }
   SECTION("a queue costs the time that the work in it takes") {
     f.chooser.HintOf("near").service_s = 0.2;
     f.chooser.HintOf("near").load = 4;
--- /dev/null
+++ b/tests/mesh_ingress_test.cc
@@ -0,0 +1,213 @@
+#include "mesh_ingress_p.h"
+
+#include <catch2/catch.hpp>
+
+#include "kv_platform.h"
+#include "mesh_util.h"
+
+namespace magnoliaarch {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr const char* kConfig = R"({"version":"00000001","services":[{"name":"archive"}],
+  "tenants":[{"name":"guild","api_keys":["k1"],"rate_per_s":500,"burst":500}],
+  "virtual_hosts":[{"host":"h","paths":[
+    {"name":"read","path_prefix":"/read/","type":"safe","timeout_ms":1500,"target_latency_ms":300,"priority":1,
+     "service":"archive","max_attempts":2},
+    {"name":"order","path_prefix":"/order/","type":"unsafe","timeout_ms":1500,"target_latency_ms":300,"priority":1,
+     "service":"archive","max_attempts":2}]}]})";
+
+SendResult NotRun(proto::MeshReason reason, std::uint32_t retry_after_ms = 0) {
+  SendResult result;
+  result.outcome = SendOutcome::kAnswered;
+  result.answer.set_outcome(proto::MESH_NOT_RUN);
+  result.answer.set_reason(reason);
+  result.answer.set_retry_after_ms(retry_after_ms);
+  return result;
+}
+
+SendResult Answered(std::uint32_t status) {
+  SendResult result;
+  result.outcome = SendOutcome::kAnswered;
+  result.answer.set_status(status);
+  return result;
+}
+
+SendResult Broken() {
+  SendResult result;
+  result.outcome = SendOutcome::kBroken;
+  return result;
+}
+
+// An ingress behind a real port; the other nodes are played by the test.
+struct Fixture {
+  Fixture()
+      : timers(context),
+        wire(CreateKvPlatform()),
+        log("test"),
+        view(*wire, [](const std::string&, const absl::Status&) {}),
+        ingress(timers, *wire, log, metrics, Options(), Hooks()),
+        server(
+            context,
+            Http1ServerOptions{"127.0.0.1", 0},
+            [this](const std::shared_ptr<HttpExchange>& exchange) { ingress.OnRequest(exchange); },
+            [](Http1Parser::Error) { return HttpMessage(); }) {
+    REQUIRE(server.Start().ok());
+    HttpClientOptions options;
+    options.ip = "127.0.0.1";
+    options.port = server.Port();
+    client = std::make_unique<HttpClient>(context, options);
+    Put("op/config", kConfig);
+  }
+
+  MeshIngressOptions Options() const {
+    MeshIngressOptions options;
+    options.node = "n1";
+    options.domain = "z1";
+    options.service = "shop";
+    options.bounds = &bounds;
+    return options;
+  }
+  MeshIngressHooks Hooks() {
+    MeshIngressHooks hooks;
+    hooks.view = [this]() -> const MeshView& { return view; };
+    hooks.live_nodes = [] { return std::size_t{2}; };
+    hooks.send = [this](const std::string& node, const proto::MeshRequest& request,
+                        const std::shared_ptr<const std::string>& /*body*/, std::function<void(SendResult)> done) {
+      sends.push_back(node);
+      requests.push_back(request);
+      if (!results.empty()) {
+        asio::post(context, [done = std::move(done), result = results.front()] { done(result); });
+        results.erase(results.begin());
+      }
+      return static_cast<std::uint64_t>(sends.size());
+    };
+    hooks.cancel = [this](std::uint64_t /*send*/) { ++cancels; };
+    hooks.want_tokens = [this] {
+      asio::post(context, [this] {
+        ingress.Tokens().Add(0, 100);
+        ingress.OnTokens();
+      });
+    };
+    return hooks;
+  }
+
+  void Put(const std::string& key, const std::string& value) {
+    proto::ViewItem item;
+    item.set_key(key);
+    item.set_value(value);
+    item.set_revision(++revision);
+    view.Apply(item);
+  }
+  void AddTarget(const std::string& node) {
+    proto::MeshMember member;
+    member.set_node(node);
+    member.set_incarnation(1);
+    member.set_domain("z1");
+    member.set_service("archive");
+    Put(MemberKey(node), member.SerializeAsString());
+    ingress.Hints()[node].accepts = true;
+  }
+  // Sends a request and returns its answer; status 0: none.
+  HttpMessage Call(const std::string& path, const std::string& key = "k1", Duration timeout = milliseconds(1200)) {
+    HttpMessage request;
+    request.method = "GET";
+    request.target = path;
+    request.headers = {{"Host", "h"}, {"Request-Id", "r1"}, {"Deadline-Ms", "1200"}, {"Key", key}};
+    std::optional<HttpMessage> answer;
+    client->Send(request, timeout, nullptr, [&](const HttpResult& result) { answer = result.answer; });
+    REQUIRE(RunUntil(context, [&] { return answer.has_value(); }));
+    return *answer;
+  }
+
+  asio::io_context context;
+  TimerQueue timers;
+  std::unique_ptr<MeshWire> wire;
+  MeshLog log;
+  MetricsRegistry metrics;
+  MeshBounds bounds;
+  MeshView view;
+  std::int64_t revision = 0;
+  std::vector<SendResult> results;  // of the next sends
+  std::vector<std::string> sends;
+  std::vector<proto::MeshRequest> requests;
+  int cancels = 0;
+  MeshIngress ingress;
+  Http1Server server;
+  std::unique_ptr<HttpClient> client;
+};
+
+TEST_CASE("a caller is told the truth about its request") {
+  Fixture f;
+  f.AddTarget("t1");
+  f.AddTarget("t2");
+
+  // Guards against requests under a wrong identity (UNASKED, ROUTE).
+  SECTION("an unknown key or route is refused, and nothing is sent") {
+    CHECK(f.Call("/read/1", "other").status == 401);
+    CHECK(f.Call("/nowhere/1").status == 404);
+    CHECK(f.sends.empty());
+  }
+  SECTION("the workspace goes with the request, its key does not") {
+    f.results = {Answered(200)};
+    CHECK(f.Call("/read/1").status == 200);
+    CHECK(f.requests[0].workspace() == "guild");
+    for (const proto::MeshHeader& header : f.requests[0].headers()) {
+      CHECK(header.name() != "Key");
+    }
+    CHECK(f.requests[0].caller_service() == "shop");
+  }
+  // Guards against a confirmation that is doubled (TWICE) and a refusal that promises too much (REFUSED).
+  SECTION("a request that may run once is not sent again after a broken send") {
+    f.results = {Broken(), Answered(200)};
+    CHECK(f.Call("/order/1").status == 502);
+    CHECK(f.sends.size() == 1);
+  }
+  SECTION("an idempotent one is sent to another target") {
+    f.results = {Broken(), Answered(200)};
+    CHECK(f.Call("/read/1").status == 200);
+    REQUIRE(f.sends.size() == 2);
+    CHECK(f.sends[0] != f.sends[1]);
+  }
+  SECTION("a request that did not run is tried elsewhere, also one that may run once") {
+    f.results = {NotRun(proto::MESH_DRAINING), Answered(200)};
+    CHECK(f.Call("/order/1").status == 200);
+    CHECK(f.sends.size() == 2);
+  }
+  SECTION("when all targets are busy the caller learns when to come back") {
+    f.results = {NotRun(proto::MESH_BUSY, 60), NotRun(proto::MESH_BUSY, 60)};
+    const HttpMessage answer = f.Call("/order/1");
+    CHECK(answer.status == 503);
+    REQUIRE(answer.Find("Retry-After") != nullptr);
+  }
+  // Guards against work for a caller that has left (GONE).
+  SECTION("a caller that leaves cancels its send") {
+    f.Call("/read/1", "k1", milliseconds(60));
+    REQUIRE(RunUntil(f.context, [&] { return f.cancels == 1; }));
+  }
+}
+
+TEST_CASE("a service without targets") {
+  Fixture f;
+  SECTION("a request waits for one to come back, within its objective") {
+    const TimePoint start = BootClock::now();
+    CHECK(f.Call("/read/1").status == 503);
+    CHECK(BootClock::now() - start > milliseconds(200));
+  }
+  // Guards against requests that wait in vain: a call that waits holds a slot of the target that makes it (sofia hunt,
+  // trouble-1 581097757937).
+  SECTION("once it has been without for a while the refusal comes at once") {
+    f.Call("/read/1");
+    RunFor(f.context, milliseconds(1500));
+    const TimePoint start = BootClock::now();
+    CHECK(f.Call("/read/1").status == 503);
+    CHECK(BootClock::now() - start < milliseconds(100));
+    f.AddTarget("t1");
+    f.results = {Answered(200)};
+    CHECK(f.Call("/read/1").status == 200);
+  }
+}
+
+}  // namespace
+}  // namespace magnoliaarch
