--- /dev/null
+++ b/src/mesh_grants_p.h
@@ -0,0 +1,125 @@
+// The keys that the local target holds by grants of this node: grants, renewals and releases as the key table says.
+
+#ifndef MAGNOLIAARCH_SRC_MESH_GRANTS_P_H_
+#define MAGNOLIAARCH_SRC_MESH_GRANTS_P_H_
+
+#include <cstdint>
+#include <functional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "http1_p.h"
+#include "mesh_log_p.h"
+#include "mesh_model_p.h"
+#include "mesh_view_p.h"
+#include "mesh_wire_p.h"
+
+namespace magnoliaarch {
+
+struct KeyGrantsHooks {
+  // Until when this node may vouch for its grants.
+  std::function<TimePoint()> authority_end;
+  // The target has answered, without a grant if its connection was refused or it said nothing.
+  std::function<void()> on_contact;
+  std::function<void()> on_refused;
+  std::function<void()> on_silence;
+  // Keys have come under a grant; requests may wait for them.
+  std::function<void()> on_granted;
+  // A call that held a release back has ended.
+  std::function<void()> on_settled;
+  // The target has given a range up whose successor is planned.
+  std::function<void(const proto::KeyRange& range, const std::string& handover)> on_released;
+  // The target has seen a higher fence on keys that it is to own.
+  std::function<void(const std::set<std::uint64_t>& fences)> on_fences_refused;
+};
+
+class KeyGrants {
+ public:
+  enum class KeyState {
+    kGranted,  // the target holds the key
+    kPending,  // it is to hold the key, a grant is to come
+    kElsewhere,
+  };
+
+  // `address` names the target in its requests. An earlier run of this node may have granted keys until just now.
+  KeyGrants(HttpClient& client, const MeshWire& wire, MeshLog& log, std::string address, KeyGrantsHooks hooks);
+
+  // Another life of the target has begun: it holds nothing. `known`: its whole life is after the start of this node.
+  void BeginLife(const proto::TargetLife& life, bool known);
+  // The target's life has certainly ended.
+  void Clear();
+
+  // What is known of the key under this table. `owner` gets the node that has it, when it is another one.
+  KeyState StateOf(const proto::KeyRange* range, std::uint32_t key, TimePoint now, std::string* owner) const;
+  // The target says that it does not hold the key: it is granted again.
+  void OnNotHeld(std::uint32_t key, TimePoint now);
+
+  // Makes grants and releases follow the table. Without `renew` nothing is granted. `most_hold`: longest time of a
+  // grant that the target takes.
+  void Reconcile(const proto::KeyTable& table, bool renew, Duration most_hold, TimePoint now);
+
+  // Whether the target may still hold keys by grants of this node or an earlier run of it.
+  bool MayHold(TimePoint now) const;
+  // First and last key of each range under grant.
+  std::vector<std::pair<std::uint32_t, std::uint32_t>> Ranges() const;
+
+ private:
+  struct Grant {
+    std::uint32_t first = 0;
+    std::uint32_t last = 0;
+    std::uint64_t fence = 0;
+    std::string handover;
+    TimePoint until;   // the target certainly holds the keys until then
+    TimePoint lapses;  // the target certainly does not hold them after
+    TimePoint renew_at;
+    bool asked = false;       // a grant call is on its way
+    bool gives_away = false;  // has a successor that waits for an open grant to lapse
+  };
+  struct Release {
+    proto::KeyRange range;
+    TimePoint sent_at;
+    int sends = 0;
+    bool done = false;
+    std::string handover;
+    TimePoint lapses;
+    TimePoint retry_at;
+  };
+  // A grant whose answer is missing: the target may still carry it out, but its time counts from its arrival.
+  struct OpenGrant {
+    std::uint64_t number = 0;
+    std::uint32_t first = 0;
+    std::uint32_t last = 0;
+    TimePoint lapses;  // after this it has no effect any more
+  };
+
+  static bool IsSame(const Release& release, const proto::KeyRange& range);
+  // When the last grant of any of these keys has certainly lapsed.
+  TimePoint LapseOf(std::uint32_t first, std::uint32_t last) const;
+  // Whether a grant of some of these keys may still take effect.
+  bool HasOpenGrant(std::uint32_t first, std::uint32_t last, TimePoint now) const;
+  Grant GrantFor(const proto::KeyRange& range) const;
+  void AskGrant(Grant& grant, Duration most_hold, TimePoint now);
+  void OnGrantResult(std::uint32_t first, std::uint64_t fence, TimePoint sent, Duration hold, const HttpResult& result);
+  void FollowRelease(const proto::KeyRange& range, TimePoint now);
+  void StartRelease(const proto::KeyRange& range, TimePoint now);
+  void SendRelease(Release& release, TimePoint now);
+
+  HttpClient& m_client;
+  const MeshWire& m_wire;
+  MeshLog& m_log;
+  const std::string m_address;
+  KeyGrantsHooks m_hooks;
+  proto::TargetLife m_life;
+  std::uint64_t m_life_number = 0;
+  // Grants of an earlier run of this node, which this run knows nothing of, have lapsed by then.
+  TimePoint m_earlier_grants_lapse;
+  std::vector<Grant> m_grants;
+  std::vector<Release> m_releases;
+  std::vector<OpenGrant> m_open_grants;
+  std::uint64_t m_last_call = 0;
+};
+
+}  // namespace magnoliaarch
+
+#endif  // MAGNOLIAARCH_SRC_MESH_GRANTS_P_H_
--- a/src/mesh_node.cc
+++ b/src/mesh_node.cc
@@ -7,7 +7,6 @@
 #include <utility>
 
 #include <fmt/format.h>
-#include <nlohmann/json.hpp>
 
 #include "http1_p.h"
 #include "magnoliaarch/metrics.h"
@@ -15,10 +14,15 @@
 #include "mesh_ingress_p.h"
 #include "mesh_log_p.h"
 #include "mesh_peers_p.h"
+#include "mesh_relay_p.h"
 #include "mesh_session_p.h"
+#include "mesh_status_p.h"
+#include "mesh_stop_p.h"
 #include "mesh_store_p.h"
+#include "mesh_table_writer_p.h"
 #include "mesh_target_p.h"
 #include "mesh_timer_p.h"
+#include "mesh_token_client_p.h"
 #include "mesh_view_p.h"
 
 namespace magnoliaarch {
@@ -29,8 +33,6 @@
 constexpr Duration kReportPeriod = std::chrono::milliseconds(400);
 // Urgent reports are this far apart.
 constexpr Duration kUrgentReport = std::chrono::milliseconds(15);
-// Tokens are asked for this often while some are lacking, and at once when a request waits for one.
-constexpr Duration kTokenPeriod = std::chrono::milliseconds(200);
 constexpr Duration kReportTimeout = std::chrono::milliseconds(500);
 constexpr Duration kPushTimeout = std::chrono::milliseconds(600);
 // A replica this old is refreshed from any node that answers.
@@ -38,20 +40,6 @@
 constexpr Duration kAskPeriod = std::chrono::milliseconds(500);
 // Without answers of a coordinator for this long tokens come from the node's own part of each limit.
 constexpr Duration kWithoutCoordinator = std::chrono::milliseconds(1200);
-// A stopping node still takes callers for this long: two missed readiness checks, a second apart.
-constexpr Duration kStopNotice = std::chrono::milliseconds(2200);
-constexpr Duration kStopDrain = std::chrono::milliseconds(1900);
-// Callers that still come after this time are refused: their requests could outlast the grace.
-constexpr Duration kStopRefuse = std::chrono::milliseconds(2700);
-// Time left of the grace when the target's keys start to move away, and the time until other nodes know.
-constexpr Duration kStopHandOver = std::chrono::milliseconds(2200);
-constexpr Duration kStopTold = std::chrono::milliseconds(600);
-// Time left of the grace for the last calls to the store.
-constexpr Duration kStopMargin = std::chrono::milliseconds(700);
-// Releases that end within this time are written together.
-constexpr Duration kReleaseBatch = std::chrono::milliseconds(8);
-// Writes that the store did not take are repeated after this time.
-constexpr Duration kWriteRetry = std::chrono::milliseconds(600);
 constexpr Duration kSettingsCheck = std::chrono::seconds(2);
 constexpr std::size_t kStoreConnections = 8;
 // Tickets of requests that this node sends to its own target; those of other nodes are numbered by their calls.
@@ -59,9 +47,7 @@
 
 const std::string kRunPath = "/run";
 const std::string kReportPath = "/report";
-const std::string kTokenPath = "/tokens";
 const std::string kPushPath = "/push";
-const std::string kRelayPath = "/store";
 
 std::uint32_t ToMs(Duration duration) {
   return static_cast<std::uint32_t>(
@@ -96,8 +82,16 @@
                 }),
         m_session(m_timers, m_store, *m_wire, m_log, SelfRecord(), m_settings.bounds.min_lease, SessionHooks()),
         m_coordinator(m_session, m_log, m_settings.node, m_incarnation, CoordinatorHooks()),
+        m_table(m_timers, m_session, m_log, m_settings.service),
         m_target(m_context, m_timers, *m_wire, m_log, TargetOptions(), TargetHooks()),
         m_ingress(m_timers, *m_wire, m_log, m_metrics, IngressOptions(), IngressHooks()),
+        m_token_client(m_context,
+                       m_peers,
+                       m_session,
+                       m_coordinator,
+                       m_log,
+                       m_ingress.Tokens(),
+                       [this] { m_ingress.OnTokens(); }),
         m_callers(m_context, ServerOptions(m_settings.ingress), OnCaller(), OnUnreadable()),
         m_ready(m_context, ServerOptions(m_settings.ready), OnReady(), OnUnreadable()),
         m_registration(m_context, ServerOptions(m_settings.registration), OnRegistration(), OnUnreadable()),
@@ -204,9 +198,11 @@
     hooks.authority_end = [this] { return m_session.AuthorityEnd(); };
     hooks.view = [this]() -> const MeshView& { return m_session.View(); };
     hooks.on_released = [this](const proto::KeyRange& range, const std::string& handover) {
-      CompleteRelease(range, handover);
+      m_table.CompleteRelease(range, handover);
+    };
+    hooks.on_fences_refused = [this](const std::set<std::uint64_t>& fences) {
+      m_table.RenewFences(LocalLife(), fences);
     };
-    hooks.on_fences_refused = [this](const std::set<std::uint64_t>& fences) { RenewFences(fences); };
     hooks.on_changed = [this] { ReportSoon(); };
     return hooks;
   }
@@ -228,10 +224,7 @@
         m_peers.Cancel(send);
       }
     };
-    hooks.want_tokens = [this] {
-      m_tokens_at = TimePoint();
-      AskForTokens(BootClock::now());
-    };
+    hooks.want_tokens = [this] { m_token_client.AskNow(); };
     return hooks;
   }
 
@@ -275,10 +268,10 @@
       HttpMessage answer;
       answer.status = 200;
       if (exchange->request.target == "/status") {
-        answer.body = Status();
+        answer.body = StatusPage(StatusNow(), m_session.View());
         answer.headers.push_back(Header{"Content-Type", "application/json"});
       } else {
-        UpdateGauges();
+        SetGauges(StatusNow(), &m_metrics);
         answer.body = m_metrics.PrometheusText();
         answer.headers.push_back(Header{"Content-Type", "text/plain; version=0.0.4"});
       }
@@ -288,10 +281,6 @@
 
   // ---- Requests ----
 
-  static MeshPeerAddress AddressOf(const proto::MeshMember& member) {
-    return MeshPeerAddress{member.ip(), static_cast<std::uint16_t>(member.peer_port())};
-  }
-
   std::uint64_t SendLocally(const proto::MeshRequest& request, std::string body, std::function<void(SendResult)> done) {
     const std::uint64_t ticket = ++m_last_local | kLocalTicket;
     m_local_done.emplace(ticket, std::move(done));
@@ -362,7 +351,7 @@
       }
       reply("", "");
     } else if (message.path == kRelayPath) {
-      RelayFor(message, std::move(reply));
+      ServeRelayedCall(m_store, message, std::move(reply));
     } else {
       m_log.Write(LogRank::kFailure, "peer_message_unknown", {{"path", message.path}});
       reply("", "");
@@ -420,7 +409,7 @@
     report.set_node(m_settings.node);
     report.set_incarnation(m_incarnation);
     *report.mutable_target() = m_target.Report(now);
-    report.set_stopping(m_handed_over_at.has_value());
+    report.set_stopping(m_stop.HandedOver());
     return report;
   }
 
@@ -490,67 +479,6 @@
     m_ingress.OnViewChanged();
   }
 
-  // ---- Tokens ----
-
-  void AskForTokens(TimePoint now) {
-    const auto config = m_session.View().Config();
-    const auto& coordinator = m_session.View().Coordinator();
-    if (now < m_tokens_at || m_asking_tokens || config == nullptr || !coordinator.has_value()) {
-      return;
-    }
-    proto::TokenCall call;
-    call.set_quota_version(static_cast<std::int64_t>(config->version));
-    for (const auto& [workspace, wanted] : m_ingress.Tokens().Wanted(now)) {
-      proto::TenantDemand* demand = call.add_demands();
-      demand->set_tenant(static_cast<std::uint32_t>(workspace));
-      demand->set_wanted_milli(static_cast<std::uint32_t>(wanted * 1000));
-    }
-    m_tokens_at = now + kTokenPeriod;
-    if (call.demands().empty()) {
-      return;
-    }
-    if (m_coordinator.IsCoordinator()) {
-      proto::TokenReply reply;
-      m_coordinator.OnTokenCall(now, call, &reply);
-      // Never from within an admission.
-      asio::post(m_context, [this, call, reply] { OnTokenReply(call, reply); });
-      return;
-    }
-    const proto::MeshMember* member = m_session.View().FindMember(coordinator->node());
-    if (member == nullptr) {
-      return;
-    }
-    m_asking_tokens = true;
-    m_peers.Call(AddressOf(*member), kTokenPath, call.SerializeAsString(), m_empty, kReportTimeout,
-                 [this, call](const MeshCallResult& result) {
-                   m_asking_tokens = false;
-                   proto::TokenReply reply;
-                   if (result.outcome == MeshCallOutcome::kAnswered && reply.ParseFromString(result.answer.head)) {
-                     OnTokenReply(call, reply);
-                   }
-                 });
-  }
-
-  void OnTokenReply(const proto::TokenCall& call, const proto::TokenReply& reply) {
-    const auto config = m_session.View().Config();
-    if (config == nullptr || reply.quota_version() != static_cast<std::int64_t>(config->version) ||
-        call.quota_version() != reply.quota_version()) {
-      return;
-    }
-    const TimePoint now = BootClock::now();
-    for (const proto::TenantDemand& demand : call.demands()) {
-      const bool given = std::any_of(reply.tokens().begin(), reply.tokens().end(),
-                                     [&](const proto::TokenGrant& grant) { return grant.tenant() == demand.tenant(); });
-      if (!given) {
-        m_ingress.Tokens().OnNoneGiven(now, demand.tenant());
-      }
-    }
-    for (const proto::TokenGrant& grant : reply.tokens()) {
-      m_ingress.Tokens().Add(grant.tenant(), grant.milli() / 1000.0);
-    }
-    m_ingress.OnTokens();
-  }
-
   // Learns from any other node what this one has missed.
   void AskAnyone(TimePoint now) {
     if (now < m_ask_at) {
@@ -593,141 +521,19 @@
     if (member == nullptr) {
       return false;
     }
-    proto::StoreRelayCall head;
-    head.set_method(call.method);
-    head.set_target(call.target);
-    head.set_timeout_ms(ToMs(timeout));
-    m_peers.Call(AddressOf(*member), kRelayPath, head.SerializeAsString(),
-                 std::make_shared<const std::string>(call.body), timeout,
-                 [done = std::move(done)](const MeshCallResult& result) {
-                   HttpResult answer;
-                   proto::StoreRelayResult relayed;
-                   if (result.outcome != MeshCallOutcome::kAnswered || !relayed.ParseFromString(result.answer.head)) {
-                     answer.outcome = result.outcome == MeshCallOutcome::kNotSent ? HttpOutcome::kNotConnected
-                                                                                  : HttpOutcome::kBroken;
-                     answer.detail = result.detail;
-                   } else if (relayed.status() == 0) {
-                     answer.outcome = relayed.maybe_applied() ? HttpOutcome::kBroken : HttpOutcome::kNotConnected;
-                     answer.detail = relayed.detail();
-                   } else {
-                     answer.outcome = HttpOutcome::kAnswered;
-                     answer.answer.status = static_cast<int>(relayed.status());
-                     answer.answer.body = result.answer.body;
-                   }
-                   done(std::move(answer));
-                 });
+    RelayStoreCall(m_peers, AddressOf(*member), call, timeout, std::move(done));
     return true;
   }
 
-  void RelayFor(const H2Message& message, MeshPeers::Reply reply) {
-    proto::StoreRelayCall head;
-    if (!head.ParseFromString(message.head)) {
-      reply("", "");
-      return;
-    }
-    HttpMessage call;
-    call.method = head.method();
-    call.target = head.target();
-    call.body = message.body;
-    call.has_body = !message.body.empty();
-    if (call.has_body) {
-      call.headers.push_back(Header{"Content-Type", "application/json"});
-    }
-    // The asking node's time runs on while the store answers.
-    const Duration timeout = std::chrono::milliseconds(head.timeout_ms()) * 3 / 4;
-    m_store.CallDirectly(std::move(call), timeout, [reply = std::move(reply)](HttpResult result) {
-      proto::StoreRelayResult answer;
-      answer.set_detail(result.detail);
-      if (result.outcome == HttpOutcome::kAnswered) {
-        answer.set_status(static_cast<std::uint32_t>(result.answer.status));
-      } else {
-        answer.set_maybe_applied(result.outcome == HttpOutcome::kBroken || result.outcome == HttpOutcome::kTimedOut);
-      }
-      reply(answer.SerializeAsString(), std::move(result.answer.body));
-    });
-  }
-
   // ---- Keys ----
 
-  // Changes the local target's table by a conditional write.
-  void ChangeTable(const std::function<bool(proto::KeyTable*)>& change,
-                   std::string_view what,
-                   std::function<void()> done) {
-    const TableState* state = m_session.View().Table(m_settings.service);
-    if (state == nullptr || m_session.AuthorityEnd() <= BootClock::now()) {
-      done();
-      return;
-    }
-    proto::KeyTable table = state->table;
-    if (!change(&table)) {
-      done();
-      return;
-    }
-    StoreTxn txn;
-    txn.compares.push_back(StoreCompare{TableKey(m_settings.service), state->revision});
-    txn.puts.push_back(StorePut{TableKey(m_settings.service), PackTable(table), 0});
-    m_session.Write(std::move(txn), [this, change, what = std::string(what), done = std::move(done),
-                                     revision = state->revision](const absl::StatusOr<StoreWrite>& written) {
-      const TableState* now = m_session.View().Table(m_settings.service);
-      if (written.ok() && !written->succeeded && now != nullptr && now->revision != revision) {
-        // Another change came first; this one applies to its result.
-        ChangeTable(change, what, done);
-        return;
-      }
-      if (!written.ok()) {
-        m_log.Write(LogRank::kFailure, "table_not_written",
-                    {{"what", what}, {"why", std::string(written.status().message())}});
-        m_timers.At(BootClock::now() + kWriteRetry, done);
-        return;
-      }
-      done();
-    });
-  }
-
-  // Releases that end together are one write.
-  void CompleteRelease(const proto::KeyRange& range, const std::string& handover) {
-    const bool known = std::any_of(m_released.begin(), m_released.end(), [&](const auto& waiting) {
-      return waiting.first.first() == range.first() && waiting.first.fence() == range.fence();
-    });
-    if (!known) {
-      m_released.emplace_back(range, handover);
-    }
-    if (m_release_timer != 0 || m_writing_releases) {
-      return;
-    }
-    m_release_timer = m_timers.At(BootClock::now() + kReleaseBatch, [this] {
-      m_release_timer = 0;
-      WriteReleases();
-    });
-  }
-
-  void WriteReleases() {
-    m_writing_releases = true;
-    ChangeTable(
-        [released = std::exchange(m_released, {})](proto::KeyTable* table) {
-          bool changed = false;
-          for (const auto& [range, handover] : released) {
-            changed =
-                CompleteMove(table, range.owner(), range.first(), range.last(), range.fence(), handover) || changed;
-          }
-          return changed;
-        },
-        "release",
-        [this] {
-          m_writing_releases = false;
-          if (!m_released.empty()) {
-            WriteReleases();
-          }
-        });
-  }
-
-  void RenewFences(const std::set<std::uint64_t>& fences) {
+  proto::TargetLife LocalLife() {
     const proto::TargetReport report = m_target.Report(BootClock::now());
     proto::TargetLife life;
     life.set_node(m_settings.node);
     life.set_id(report.id());
     life.set_start_ms(report.start_ms());
-    ChangeTable([life, fences](proto::KeyTable* table) { return RaiseFences(table, life, fences); }, "fence", [] {});
+    return life;
   }
 
   // ---- Time ----
@@ -736,13 +542,13 @@
     const TimePoint now = BootClock::now();
     m_session.SetMustWatch(m_coordinator.IsCoordinator() || !m_session.View().Coordinator().has_value());
     m_session.OnTick(now);
-    m_coordinator.OnTick(now, m_store.IsReachable(), m_stopping_since.has_value());
+    m_coordinator.OnTick(now, m_store.IsReachable(), m_stop.Begun());
     m_target.OnTick(now);
     m_peers.OnTick(now);
     if (now >= m_report_at) {
       SendReport(now);
     }
-    AskForTokens(now);
+    m_token_client.OnTick(now);
     if ((m_session.Age(now) > kStaleReplica && now - m_coordinator_heard > kStaleReplica) ||
         !m_session.HearsOperator(now)) {
       AskAnyone(now);
@@ -765,7 +571,7 @@
       }
     }
     m_ticked_at = now;
-    if (m_stopping_since && StopStep(now)) {
+    if (m_stop.Begun() && StopStep(now)) {
       return;
     }
     m_tick.expires_after(kTick);
@@ -803,138 +609,79 @@
   }
 
   bool IsReady() const {
-    return !m_stopping_since && m_session.View().Config() != nullptr && !m_session.View().Members().empty();
+    return !m_stop.Begun() && m_session.View().Config() != nullptr && !m_session.View().Members().empty();
   }
 
   // ---- Planned stop ----
 
   void BeginStop(int signal) {
-    if (m_stopping_since) {
+    if (m_stop.Begun()) {
       return;
     }
-    m_stopping_since = BootClock::now();
+    m_stop.Begin(BootClock::now());
     m_log.Write(LogRank::kState, "stopping",
                 {{"signal", signal}, {"requests", m_ingress.InProgress()}, {"at_target", m_target.InProgress()}});
     m_log.Flush();
     m_coordinator.Resign();
   }
 
-  // The target beside a stopping node serves on through it until the grace is nearly over; then its keys move away and
-  // other nodes stop choosing it.
-  void HandTargetOver(TimePoint now) {
-    m_handed_over_at = now;
-    m_target.SetStopping();
-    SendReport(now);
-  }
-
   // Returns whether the node has ended.
   bool StopStep(TimePoint now) {
-    const Duration waited = now - *m_stopping_since;
-    if (!m_drained && waited > kStopDrain) {
-      m_drained = true;
+    StopState state;
+    state.target_accepts = m_target.Report(now).accepts();
+    state.idle = m_ingress.InProgress() == 0 && m_target.InProgress() == 0 && m_callers.InProgress() == 0;
+    state.store_told = m_store_told;
+    const StopSteps steps = m_stop.Step(now, m_settings.bounds.stop_grace, state);
+    if (steps.drain_callers) {
       m_callers.Drain();
     }
-    if (waited > kStopRefuse) {
+    if (steps.refuse_callers) {
       m_ingress.RefuseAll();
     }
-    const bool serves = m_target.Report(now).accepts();
-    if (!m_handed_over_at && (!serves || waited > m_settings.bounds.stop_grace - kStopHandOver)) {
-      HandTargetOver(now);
+    if (steps.hand_over) {
+      m_target.SetStopping();
+      SendReport(now);
     }
-    const bool handed_over = m_handed_over_at && now - *m_handed_over_at > kStopTold;
-    if (handed_over) {
-      // Without another owner requests go on to arrive here; those that begin now could be cut by the end.
+    if (steps.refuse_work) {
       m_target.RefuseNew();
     }
-    const bool idle =
-        handed_over && m_ingress.InProgress() == 0 && m_target.InProgress() == 0 && m_callers.InProgress() == 0;
-    const bool due = waited > m_settings.bounds.stop_grace - kStopMargin;
-    if (!m_leaving && ((idle && waited > kStopNotice) || due)) {
-      m_leaving = true;
-      m_leave_by = now + kStopMargin / 2;
-      // A caller that comes while the node says goodbye to the store is refused, not cut.
-      m_ingress.RefuseAll();
-      m_callers.Drain();
+    if (steps.tell_store) {
       // A lease that may still cover grants runs out by itself.
       if (m_target.HoldsKeys(now)) {
         m_session.StopRenewing();
-        m_left = true;
+        m_store_told = true;
       } else {
-        m_session.Leave([this] { m_left = true; });
+        m_session.Leave([this] { m_store_told = true; });
       }
     }
-    if (m_leaving && ((m_left && idle) || now > m_leave_by)) {
+    if (steps.end) {
       m_cut = m_ingress.InProgress() + m_target.InProgress();
       m_context.stop();
-      return true;
     }
-    return false;
+    return steps.end;
   }
 
-  // ---- What an operator sees ----
-
-  void UpdateGauges() {
-    const TimePoint now = BootClock::now();
-    const auto set = [this](const char* name, const char* help, double value) {
-      m_metrics.GetGauge(name, help).Set(value);
-    };
-    set("magnolia_mesh_view_age_seconds", "Time since the replica was last known to be complete.",
-        std::chrono::duration<double>(m_session.Age(now)).count());
-    set("magnolia_mesh_config_version", "Version of the configuration in force.",
-        static_cast<double>(m_config_version));
-    set("magnolia_mesh_store_calls", "Calls to the store.", static_cast<double>(m_store.Calls()));
-    set("magnolia_mesh_store_relayed", "Calls to the store through other nodes.",
-        static_cast<double>(m_store.Relayed()));
-    set("magnolia_mesh_store_reachable", "Whether the last call reached the store.", m_store.IsReachable() ? 1 : 0);
-    set("magnolia_mesh_lease_left_seconds", "Time for which the node may vouch for grants.",
-        std::max(0.0, std::chrono::duration<double>(m_session.AuthorityEnd() - now).count()));
-    set("magnolia_mesh_coordinator", "Whether this node is the coordinator.", m_coordinator.IsCoordinator() ? 1 : 0);
-    set("magnolia_mesh_requests_open", "Requests of callers in progress.", static_cast<double>(m_ingress.InProgress()));
-    set("magnolia_mesh_gate_running", "Requests at the target.", static_cast<double>(m_target.Gate().Running()));
-    set("magnolia_mesh_gate_queued", "Requests that wait for the target.",
-        static_cast<double>(m_target.Gate().Queued()));
-    set("magnolia_mesh_gate_service_seconds", "Mean time of a request at the target.",
-        std::chrono::duration<double>(m_target.Gate().MeanService()).count());
-    set("magnolia_mesh_peer_connections", "Connections to other nodes.", static_cast<double>(m_peers.Connections()));
-    set("magnolia_mesh_log_dropped", "Log lines dropped because standard output took none.",
-        static_cast<double>(m_log.Dropped()));
-  }
-
-  std::string Status() {
+  NodeStatus StatusNow() const {
     const TimePoint now = BootClock::now();
-    nlohmann::json status;
-    status["node"] = m_settings.node;
-    status["incarnation"] = std::to_string(m_incarnation);
-    status["ready"] = IsReady();
-    status["config"] = m_config_version;
-    status["revision"] = m_session.View().Revision();
-    status["view_age_ms"] = ToMs(m_session.Age(now));
-    status["lease_left_ms"] = ToMs(m_session.AuthorityEnd() - now);
-    status["store_reachable"] = m_store.IsReachable();
-    status["store_calls"] = m_store.Calls();
-    status["coordinator"] = m_session.View().Coordinator().has_value() ? m_session.View().Coordinator()->node() : "";
-    status["target"] = m_target.DescribeState(now);
-    status["members"] = nlohmann::json::array();
-    for (const auto& [node, member] : m_session.View().Members()) {
-      status["members"].push_back({{"node", node}, {"domain", member.domain()}, {"service", member.service()}});
-    }
-    const auto config = m_session.View().Config();
-    if (config != nullptr) {
-      for (const auto& [name, service] : config->services) {
-        const TableState* table = m_session.View().Table(name);
-        if (table == nullptr) {
-          continue;
-        }
-        for (const proto::KeyRange& range : table->table.ranges()) {
-          status["keys"][name].push_back({{"first", range.first()},
-                                          {"last", range.last()},
-                                          {"owner", range.owner().node()},
-                                          {"fence", range.fence()},
-                                          {"successor", range.successor().node()}});
-        }
-      }
-    }
-    return status.dump(2, ' ', false, nlohmann::json::error_handler_t::replace) + "\n";
+    NodeStatus status;
+    status.node = m_settings.node;
+    status.incarnation = m_incarnation;
+    status.ready = IsReady();
+    status.coordinates = m_coordinator.IsCoordinator();
+    status.config_version = m_config_version;
+    status.view_age = m_session.Age(now);
+    status.lease_left = m_session.AuthorityEnd() - now;
+    status.store_reachable = m_store.IsReachable();
+    status.store_calls = m_store.Calls();
+    status.store_relayed = m_store.Relayed();
+    status.target_state = m_target.DescribeState(now);
+    status.requests_open = m_ingress.InProgress();
+    status.target_running = m_target.Gate().Running();
+    status.target_queued = m_target.Gate().Queued();
+    status.target_service = m_target.Gate().MeanService();
+    status.peer_connections = m_peers.Connections();
+    status.log_dropped = m_log.Dropped();
+    return status;
   }
 
   MeshSettings m_settings;
@@ -952,8 +699,10 @@
   MeshStore m_store;
   MeshSession m_session;
   MeshCoordinatorDuty m_coordinator;
+  TableWriter m_table;
   MeshTarget m_target;
   MeshIngress m_ingress;
+  TokenClient m_token_client;
   Http1Server m_callers;
   Http1Server m_ready;
   Http1Server m_registration;
@@ -962,27 +711,18 @@
   std::uint64_t m_last_local = 0;
   std::unordered_map<std::uint64_t, std::function<void(SendResult)>> m_local_done;
   bool m_view_posted = false;
-  std::vector<std::pair<proto::KeyRange, std::string>> m_released;
-  TimerId m_release_timer = 0;
-  bool m_writing_releases = false;
   std::uint64_t m_config_version = 0;
   TimePoint m_report_at;
   TimePoint m_reported_at;
   TimerId m_report_timer = 0;
   TimePoint m_coordinator_heard;
-  TimePoint m_tokens_at;
-  bool m_asking_tokens = false;
   TimePoint m_ask_at;
   TimePoint m_ticked_at;
   TimePoint m_slow_tick_at;
   TimePoint m_settings_checked_at;
   std::int64_t m_settings_modified = 0;
-  std::optional<TimePoint> m_stopping_since;
-  bool m_drained = false;
-  std::optional<TimePoint> m_handed_over_at;
-  bool m_leaving = false;
-  bool m_left = false;
-  TimePoint m_leave_by;
+  PlannedStop m_stop;
+  bool m_store_told = false;
   std::size_t m_cut = 0;
 };
 
--- a/src/mesh_peers_p.h
+++ b/src/mesh_peers_p.h
@@ -15,6 +15,7 @@
 #include "absl/status/status.h"
 #include "h2_session_p.h"
 #include "magnoliaarch/types.h"
+#include "mesh.pb.h"
 #include "mesh_timer_p.h"
 
 namespace magnoliaarch {
@@ -25,6 +26,10 @@
   auto operator<=>(const MeshPeerAddress&) const = default;
 };
 
+inline MeshPeerAddress AddressOf(const proto::MeshMember& member) {
+  return MeshPeerAddress{member.ip(), static_cast<std::uint16_t>(member.peer_port())};
+}
+
 enum class MeshCallOutcome {
   kAnswered,
   kNotSent,  // certainly not processed by the peer
--- /dev/null
+++ b/src/mesh_status.cc
@@ -0,0 +1,84 @@
+#include "mesh_status_p.h"
+
+#include <algorithm>
+
+#include <nlohmann/json.hpp>
+
+namespace magnoliaarch {
+namespace {
+
+double Seconds(Duration duration) {
+  return std::max(0.0, std::chrono::duration<double>(duration).count());
+}
+
+std::int64_t Milliseconds(Duration duration) {
+  return std::max<std::int64_t>(0, std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
+nlohmann::json DescribeTable(const TableState& state) {
+  nlohmann::json ranges = nlohmann::json::array();
+  for (const proto::KeyRange& range : state.table.ranges()) {
+    ranges.push_back({{"first", range.first()},
+                      {"last", range.last()},
+                      {"owner", range.owner().node()},
+                      {"fence", range.fence()},
+                      {"successor", range.successor().node()}});
+  }
+  return ranges;
+}
+
+}  // namespace
+
+void SetGauges(const NodeStatus& status, MetricsRegistry* metrics) {
+  const auto set = [metrics](const char* name, const char* help, double value) {
+    metrics->GetGauge(name, help).Set(value);
+  };
+  const auto count = [&set](const char* name, const char* help, std::uint64_t value) {
+    set(name, help, static_cast<double>(value));
+  };
+  set("magnolia_mesh_view_age_seconds", "Time since the replica was last known to be complete.",
+      Seconds(status.view_age));
+  count("magnolia_mesh_config_version", "Version of the configuration in force.", status.config_version);
+  count("magnolia_mesh_store_calls", "Calls to the store.", status.store_calls);
+  count("magnolia_mesh_store_relayed", "Calls to the store through other nodes.", status.store_relayed);
+  set("magnolia_mesh_store_reachable", "Whether the last call reached the store.", status.store_reachable ? 1 : 0);
+  set("magnolia_mesh_lease_left_seconds", "Time for which the node may vouch for grants.", Seconds(status.lease_left));
+  set("magnolia_mesh_coordinator", "Whether this node is the coordinator.", status.coordinates ? 1 : 0);
+  count("magnolia_mesh_requests_open", "Requests of callers in progress.", status.requests_open);
+  count("magnolia_mesh_gate_running", "Requests at the target.", status.target_running);
+  count("magnolia_mesh_gate_queued", "Requests that wait for the target.", status.target_queued);
+  set("magnolia_mesh_gate_service_seconds", "Mean time of a request at the target.", Seconds(status.target_service));
+  count("magnolia_mesh_peer_connections", "Connections to other nodes.", status.peer_connections);
+  count("magnolia_mesh_log_dropped", "Log lines dropped because standard output took none.", status.log_dropped);
+}
+
+std::string StatusPage(const NodeStatus& status, const MeshView& view) {
+  nlohmann::json page;
+  page["node"] = status.node;
+  page["incarnation"] = std::to_string(status.incarnation);
+  page["ready"] = status.ready;
+  page["config"] = status.config_version;
+  page["revision"] = view.Revision();
+  page["view_age_ms"] = Milliseconds(status.view_age);
+  page["lease_left_ms"] = Milliseconds(status.lease_left);
+  page["store_reachable"] = status.store_reachable;
+  page["store_calls"] = status.store_calls;
+  page["coordinator"] = view.Coordinator().has_value() ? view.Coordinator()->node() : "";
+  page["target"] = status.target_state;
+  page["members"] = nlohmann::json::array();
+  for (const auto& [node, member] : view.Members()) {
+    page["members"].push_back({{"node", node}, {"domain", member.domain()}, {"service", member.service()}});
+  }
+  const auto config = view.Config();
+  if (config != nullptr) {
+    for (const auto& [name, service] : config->services) {
+      const TableState* table = view.Table(name);
+      if (table != nullptr) {
+        page["keys"][name] = DescribeTable(*table);
+      }
+    }
+  }
+  return page.dump(2, ' ', false, nlohmann::json::error_handler_t::replace) + "\n";
+}
+
+}  // namespace magnoliaarch
--- /dev/null
+++ b/src/mesh_status_p.h
@@ -0,0 +1,41 @@
+// What a node tells its operators: gauges for scrapes, and a JSON page of its state and of who owns which keys.
+
+#ifndef MAGNOLIAARCH_SRC_MESH_STATUS_P_H_
+#define MAGNOLIAARCH_SRC_MESH_STATUS_P_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+
+#include "magnoliaarch/metrics.h"
+#include "magnoliaarch/types.h"
+#include "mesh_view_p.h"
+
+namespace magnoliaarch {
+
+struct NodeStatus {
+  std::string node;
+  std::uint64_t incarnation = 0;
+  bool ready = false;
+  bool coordinates = false;
+  std::uint64_t config_version = 0;
+  Duration view_age{};
+  Duration lease_left{};  // for which the node may vouch for grants
+  bool store_reachable = false;
+  std::uint64_t store_calls = 0;
+  std::uint64_t store_relayed = 0;
+  std::string target_state;
+  std::size_t requests_open = 0;
+  std::size_t target_running = 0;
+  std::size_t target_queued = 0;
+  Duration target_service{};  // mean time of a request at the target
+  std::size_t peer_connections = 0;
+  std::uint64_t log_dropped = 0;
+};
+
+void SetGauges(const NodeStatus& status, MetricsRegistry* metrics);
+std::string StatusPage(const NodeStatus& status, const MeshView& view);
+
+}  // namespace magnoliaarch
+
+#endif  // MAGNOLIAARCH_SRC_MESH_STATUS_P_H_
--- /dev/null
+++ b/src/mesh_stop.cc
@@ -0,0 +1,55 @@
+#include "mesh_stop_p.h"
+
+#include <utility>
+
+namespace magnoliaarch {
+namespace {
+
+// A stopping node still takes callers for this long: two missed readiness checks, a second apart.
+constexpr Duration kNotice = std::chrono::milliseconds(2200);
+constexpr Duration kDrain = std::chrono::milliseconds(1900);
+// Callers that still come after this time are refused: their requests could outlast the grace.
+constexpr Duration kRefuse = std::chrono::milliseconds(2700);
+// Time left of the grace when the target's keys start to move away, and the time until other nodes know.
+constexpr Duration kHandOver = std::chrono::milliseconds(2200);
+constexpr Duration kTold = std::chrono::milliseconds(600);
+// Time left of the grace for the last calls to the store.
+constexpr Duration kMargin = std::chrono::milliseconds(700);
+
+// True the first time that a step is due.
+bool Once(bool due, bool* done) {
+  return due && !std::exchange(*done, true);
+}
+
+}  // namespace
+
+StopSteps PlannedStop::Step(TimePoint now, Duration grace, const StopState& state) {
+  StopSteps steps;
+  if (!m_since) {
+    return steps;
+  }
+  const Duration waited = now - *m_since;
+  steps.drain_callers = Once(waited > kDrain, &m_drained);
+  steps.refuse_callers = Once(waited > kRefuse, &m_refuses_callers);
+  // The target serves on through this node until the grace is nearly over, unless it leaves or ends itself.
+  if (!m_handed_over_at && (!state.target_accepts || waited > grace - kHandOver)) {
+    m_handed_over_at = now;
+    steps.hand_over = true;
+  }
+  const bool told = m_handed_over_at && now - *m_handed_over_at > kTold;
+  // Without another owner requests go on to arrive; those that began now could be cut by the end.
+  steps.refuse_work = Once(told, &m_refuses_work);
+  const bool idle = told && state.idle;
+  if (!m_end_by && ((idle && waited > kNotice) || waited > grace - kMargin)) {
+    m_end_by = now + kMargin / 2;
+    steps.tell_store = true;
+    // A caller that comes meanwhile is refused, not cut.
+    steps.refuse_callers = true;
+    steps.drain_callers = true;
+    return steps;
+  }
+  steps.end = m_end_by && ((state.store_told && idle) || now > *m_end_by);
+  return steps;
+}
+
+}  // namespace magnoliaarch
--- a/src/mesh_target.cc
+++ b/src/mesh_target.cc
@@ -11,21 +11,6 @@
 namespace magnoliaarch {
 namespace {
 
-// Time of one key grant. Short, so that the keys of a target that fell silent are free soon; each renewal is one call
-// on the same host. A grant that the target carries out late, 2 s or more after it arrived, has lapsed by then.
-constexpr Duration kHold = std::chrono::milliseconds(1800);
-constexpr Duration kLeastHold = std::chrono::milliseconds(250);
-// The target's clock may run this much slow.
-constexpr double kClockDrift = 0.02;
-// A call on the same host arrives within this time.
-constexpr Duration kCallDelay = std::chrono::milliseconds(60);
-constexpr Duration kGrantTimeout = std::chrono::milliseconds(500);
-constexpr Duration kReleaseTimeout = std::chrono::milliseconds(1500);
-// The target answers a release when the work on its keys has ended. One whose answer may be lost is sent once more.
-constexpr Duration kReleaseAgain = std::chrono::milliseconds(700);
-constexpr int kReleaseSends = 2;
-constexpr Duration kHandoverWait = std::chrono::milliseconds(250);
-constexpr Duration kReleaseRetry = std::chrono::milliseconds(150);
 // A sharded target that leaves serves its keys on until the successors have them, but no longer than the bound of a
 // leave less this margin.
 constexpr Duration kLeaveMargin = std::chrono::milliseconds(500);
@@ -45,12 +30,8 @@
 // A target that refuses work says so at once, this often.
 constexpr Duration kOverloadReport = std::chrono::milliseconds(200);
 constexpr double kOfferedDecayS = 1.5;
-constexpr int kConflict = 409;
-constexpr int kOk = 200;
-
-Duration WithDrift(Duration duration) {
-  return Duration(static_cast<Duration::rep>(static_cast<double>(duration.count()) * (1 + kClockDrift)));
-}
+// The target does not hold the request's key, or is another one.
+constexpr int kMisdirected = 421;
 
 }  // namespace
 
@@ -67,7 +48,23 @@
       m_address(fmt::format("{}:{}", m_options.ip, m_options.port)),
       m_hooks(std::move(hooks)),
       m_client(context, HttpClientOptions{m_options.ip, m_options.port, kMaxConnections}),
-      m_earlier_grants_lapse(BootClock::now() + kCallDelay + WithDrift(kHold)) {}
+      m_grants(m_client, m_wire, m_log, m_address, GrantHooks()) {}
+
+KeyGrantsHooks MeshTarget::GrantHooks() {
+  KeyGrantsHooks hooks;
+  hooks.authority_end = m_hooks.authority_end;
+  hooks.on_contact = [this] {
+    OnContact();
+    m_failures = 0;
+  };
+  hooks.on_refused = [this] { OnRefused(); };
+  hooks.on_silence = [this] { ++m_failures; };
+  hooks.on_granted = [this] { RetryHeld(); };
+  hooks.on_settled = [this] { Reconcile(BootClock::now()); };
+  hooks.on_released = m_hooks.on_released;
+  hooks.on_fences_refused = m_hooks.on_fences_refused;
+  return hooks;
+}
 
 // Lives as long as the configuration of the view.
 const MeshService* MeshTarget::Service() const {
@@ -123,41 +120,11 @@
   return !RefusalNow(now).has_value();
 }
 
-proto::TargetLife MeshTarget::LifeRecord() const {
-  proto::TargetLife life;
-  life.set_node(m_options.node);
-  if (m_life) {
-    life.set_id(m_life->id);
-    life.set_start_ms(m_life->start_ms);
-  }
-  return life;
-}
-
 // ---- Requests ----
 
-MeshTarget::KeyState MeshTarget::StateOfKey(std::uint32_t key, TimePoint now, std::string* owner) const {
-  for (const Release& release : m_releases) {
-    if (release.range.first() <= key && key <= release.range.last()) {
-      return KeyState::kElsewhere;
-    }
-  }
-  for (const Grant& grant : m_grants) {
-    if (grant.first <= key && key <= grant.last) {
-      return grant.until > now ? KeyState::kGranted : KeyState::kPending;
-    }
-  }
+KeyGrants::KeyState MeshTarget::StateOfKey(std::uint32_t key, TimePoint now, std::string* owner) const {
   const TableState* table = m_hooks.view().Table(m_life->service);
-  const proto::KeyRange* range = table != nullptr ? table->Find(key) : nullptr;
-  if (range == nullptr) {
-    return KeyState::kElsewhere;
-  }
-  if (SameLife(range->owner(), LifeRecord()) && !range->has_successor()) {
-    return KeyState::kPending;
-  }
-  if (range->owner().node() != m_options.node) {
-    *owner = range->owner().node();
-  }
-  return KeyState::kElsewhere;
+  return m_grants.StateOf(table != nullptr ? table->Find(key) : nullptr, key, now, owner);
 }
 
 void MeshTarget::Handle(GateTicket ticket, proto::MeshRequest request, std::string body, Reply reply) {
@@ -192,12 +159,12 @@
   }
   if (request.has_key() && IsSharded()) {
     std::string owner;
-    const KeyState state = StateOfKey(request.key(), now, &owner);
-    if (state == KeyState::kElsewhere) {
+    const KeyGrants::KeyState state = StateOfKey(request.key(), now, &owner);
+    if (state == KeyGrants::KeyState::kElsewhere) {
       Refuse(ticket, proto::MESH_NOT_OWNER, Duration(0), owner);
       return;
     }
-    if (state == KeyState::kPending) {
+    if (state == KeyGrants::KeyState::kPending) {
       work.held = true;
       return;
     }
@@ -263,7 +230,7 @@
   }
   if (work.request.has_key() && IsSharded()) {
     std::string owner;
-    if (StateOfKey(work.request.key(), now, &owner) != KeyState::kGranted) {
+    if (StateOfKey(work.request.key(), now, &owner) != KeyGrants::KeyState::kGranted) {
       give_back(proto::MESH_NOT_OWNER, owner);
       return;
     }
@@ -305,15 +272,9 @@
       if (meaning.not_run) {
         answer.set_outcome(proto::MESH_REJECTED);
         answer.set_reason(proto::MESH_BUSY);
-        if (result.answer.status == 421 && it->second.request.has_key()) {
-          // The target does not hold the key after all: grant it again.
+        if (result.answer.status == kMisdirected && it->second.request.has_key()) {
           answer.set_reason(proto::MESH_NOT_OWNER);
-          for (Grant& grant : m_grants) {
-            if (grant.first <= it->second.request.key() && it->second.request.key() <= grant.last) {
-              grant.until = TimePoint();
-              grant.renew_at = now;
-            }
-          }
+          m_grants.OnNotHeld(it->second.request.key(), now);
         }
       } else {
         answer.set_outcome(proto::MESH_ANSWERED);
@@ -496,13 +457,12 @@
                {"service", beat.service},
                {"slots", beat.slots},
                {"cold_left_ms", beat.cold_left}});
-  if (m_life) {
-    // A life that begins while this node runs has no grants but this run's.
-    m_earlier_grants_lapse = TimePoint();
-  }
+  proto::TargetLife life;
+  life.set_node(m_options.node);
+  life.set_id(beat.id);
+  life.set_start_ms(beat.start_ms);
+  m_grants.BeginLife(life, m_life.has_value());
   m_leaving_since.reset();
-  m_grants.clear();
-  m_releases.clear();
   m_client.CloseIdle(TimePoint::max());
 }
 
@@ -530,7 +490,7 @@
     return;
   }
   m_ended = true;
-  m_grants.clear();
+  m_grants.Clear();
   m_log.Write(LogRank::kState, "target_ended", {{"id", m_life->id}, {"why", why}});
   m_hooks.on_changed();
 }
@@ -538,10 +498,7 @@
 // ---- Keys ----
 
 bool MeshTarget::HoldsKeys(TimePoint now) const {
-  return (IsSharded() && !m_ended && now < m_earlier_grants_lapse) ||
-         std::any_of(m_grants.begin(), m_grants.end(), [&](const Grant& grant) { return grant.lapses > now; }) ||
-         std::any_of(m_releases.begin(), m_releases.end(),
-                     [&](const Release& release) { return !release.done && release.lapses > now; });
+  return IsSharded() && m_grants.MayHold(now);
 }
 
 void MeshTarget::OnViewChanged() {
@@ -572,221 +529,8 @@
   if (table == nullptr) {
     return;
   }
-  const proto::TargetLife life = LifeRecord();
-  std::vector<Grant> grants;
-  std::vector<std::uint32_t> still_released;
-  for (const proto::KeyRange& range : table->table.ranges()) {
-    if (!SameLife(range.owner(), life)) {
-      continue;
-    }
-    // What is known of these keys under the same fence, perhaps as a part of a wider range.
-    const Grant* known = nullptr;
-    for (const Grant& grant : m_grants) {
-      if (grant.fence == range.fence() && grant.first <= range.first() && range.last() <= grant.last) {
-        known = &grant;
-      }
-    }
-    const bool released = std::any_of(m_releases.begin(), m_releases.end(), [&](const Release& release) {
-      return release.range.first() == range.first() && release.range.last() == range.last() &&
-             release.range.fence() == range.fence();
-    });
-    // Keys that an open grant could still take back stay here, without renewal, until it has lapsed.
-    const bool waits = range.has_successor() && !released && HasOpenGrant(range.first(), range.last(), now);
-    if (range.has_successor() && !waits) {
-      still_released.push_back(range.first());
-      StartRelease(range, LapseOf(range.first(), range.last()), now);
-      continue;
-    }
-    Grant grant;
-    if (known != nullptr) {
-      grant = *known;
-      if (grant.first != range.first() || grant.last != range.last()) {
-        grant.asked = false;
-      }
-    }
-    grant.first = range.first();
-    grant.last = range.last();
-    grant.fence = range.fence();
-    grant.handover = range.handover();
-    // Under whichever fence the target was granted these keys, it may hold them until that lapses.
-    grant.lapses = std::max(grant.lapses, LapseOf(range.first(), range.last()));
-    grant.gives_away = waits;
-    if (waits) {
-      grant.lapses = std::max(grant.lapses, m_earlier_grants_lapse);
-    }
-    grants.push_back(std::move(grant));
-  }
-  std::erase_if(m_releases, [&](const Release& release) {
-    return std::find(still_released.begin(), still_released.end(), release.range.first()) == still_released.end();
-  });
-  m_grants = std::move(grants);
-  std::erase_if(m_open_grants, [now](const OpenGrant& open) { return open.lapses <= now; });
-  if (now >= ServeEnd() || m_suspect || m_unconfirmed) {
-    return;
-  }
-  for (Grant& grant : m_grants) {
-    if (!grant.asked && !grant.gives_away && now >= grant.renew_at) {
-      AskGrant(grant, now);
-    }
-  }
-}
-
-TimePoint MeshTarget::LapseOf(std::uint32_t first, std::uint32_t last) const {
-  TimePoint lapses;
-  for (const Grant& grant : m_grants) {
-    if (grant.first <= last && first <= grant.last) {
-      lapses = std::max(lapses, grant.lapses);
-    }
-  }
-  return lapses;
-}
-
-void MeshTarget::AskGrant(Grant& grant, TimePoint now) {
-  const Duration vouched = m_hooks.authority_end() - now - kCallDelay;
-  const auto most = Duration(static_cast<Duration::rep>(static_cast<double>(vouched.count()) / (1 + kClockDrift)));
-  const Duration hold = std::min({kHold, m_options.bounds->max_hold, most});
-  if (hold < kLeastHold) {
-    return;
-  }
-  grant.asked = true;
-  grant.lapses = std::max(grant.lapses, now + kCallDelay + WithDrift(hold));
-  const KeyGrant call{grant.first, grant.last, grant.fence, hold, grant.handover};
-  const std::uint64_t number = ++m_last_grant_call;
-  m_open_grants.push_back(OpenGrant{number, grant.first, grant.last, now + kCallDelay + WithDrift(hold)});
-  m_client.Send(m_wire.GrantCall(call, m_address), kGrantTimeout, nullptr,
-                [this, number, first = grant.first, fence = grant.fence, now, hold, id = m_life->id,
-                 start = m_life->start_ms](const HttpResult& result) {
-                  if (result.outcome != HttpOutcome::kBroken && result.outcome != HttpOutcome::kTimedOut) {
-                    std::erase_if(m_open_grants, [number](const OpenGrant& open) { return open.number == number; });
-                  }
-                  if (m_life && m_life->id == id && m_life->start_ms == start) {
-                    OnGrantResult(first, fence, now, hold, result);
-                  }
-                });
-}
-
-void MeshTarget::OnGrantResult(std::uint32_t first,
-                               std::uint64_t fence,
-                               TimePoint sent,
-                               Duration hold,
-                               const HttpResult& result) {
-  const TimePoint now = BootClock::now();
-  const auto it = std::find_if(m_grants.begin(), m_grants.end(),
-                               [&](const Grant& grant) { return grant.first == first && grant.fence == fence; });
-  if (result.outcome == HttpOutcome::kRefused) {
-    OnRefused();
-    if (m_ended) {
-      return;
-    }
-  }
-  if (result.outcome == HttpOutcome::kAnswered) {
-    OnContact();
-    m_failures = 0;
-  } else {
-    ++m_failures;
-  }
-  if (it == m_grants.end()) {
-    // The range changed while the call was on its way; a release may wait for its end.
-    Reconcile(now);
-    return;
-  }
-  it->asked = false;
-  if (result.outcome == HttpOutcome::kAnswered && result.answer.status == kOk) {
-    const bool first_time = it->until <= now;
-    it->until = std::max(it->until, sent + hold);
-    it->renew_at = sent + hold / 2;
-    if (first_time) {
-      m_log.Write(LogRank::kState, "keys_granted",
-                  {{"first", it->first},
-                   {"last", it->last},
-                   {"fence", it->fence},
-                   {"hold_ms", hold},
-                   {"handover", !it->handover.empty()}});
-      RetryHeld();
-    }
-    return;
-  }
-  it->renew_at = now + std::chrono::milliseconds(100);
-  m_log.Write(LogRank::kFailure, "grant_failed",
-              {{"first", it->first},
-               {"last", it->last},
-               {"fence", it->fence},
-               {"status", result.answer.status},
-               {"detail", result.detail}});
-  if (result.outcome == HttpOutcome::kAnswered && result.answer.status == kConflict) {
-    m_hooks.on_fences_refused({it->fence});
-  }
-}
-
-void MeshTarget::StartRelease(const proto::KeyRange& range, TimePoint lapses, TimePoint now) {
-  for (Release& release : m_releases) {
-    if (release.range.first() == range.first() && release.range.last() == range.last() &&
-        release.range.fence() == range.fence()) {
-      release.range = range;
-      if (!release.done && release.sends < kReleaseSends && now - release.sent_at > kReleaseAgain) {
-        SendRelease(release, now);
-      }
-      // The change in the store is still missing, or the target never answered and its time is over.
-      if ((release.done || now >= release.lapses) && now >= release.retry_at) {
-        release.retry_at = now + kReleaseRetry;
-        m_hooks.on_released(range, release.handover);
-      }
-      return;
-    }
-  }
-  Release release;
-  release.range = range;
-  // Keys that the target had are asked back even after their time, for the sake of their handover.
-  const bool had = lapses != TimePoint();
-  release.lapses = had ? std::max(lapses, now + kHandoverWait) : lapses;
-  release.retry_at = now + kReleaseRetry;
-  release.done = !had;
-  const bool done = release.done;
-  m_releases.push_back(std::move(release));
-  m_log.Write(LogRank::kState, "keys_released",
-              {{"first", range.first()},
-               {"last", range.last()},
-               {"fence", range.fence()},
-               {"successor", range.successor().node()},
-               {"held", !done}});
-  if (done) {
-    m_hooks.on_released(range, "");
-    return;
-  }
-  SendRelease(m_releases.back(), now);
-}
-
-bool MeshTarget::HasOpenGrant(std::uint32_t first, std::uint32_t last, TimePoint now) const {
-  // Grants of an earlier run may be open as well.
-  return now < m_earlier_grants_lapse ||
-         std::any_of(m_open_grants.begin(), m_open_grants.end(), [&](const OpenGrant& open) {
-           return open.first <= last && first <= open.last && open.lapses > now;
-         });
-}
-
-void MeshTarget::SendRelease(Release& release, TimePoint now) {
-  const proto::KeyRange range = release.range;
-  release.sent_at = now;
-  ++release.sends;
-  m_client.Send(m_wire.ReleaseCall(range.first(), range.last(), range.fence(), m_address), kReleaseTimeout, nullptr,
-                [this, range](const HttpResult& result) {
-                  if (result.outcome != HttpOutcome::kAnswered || result.answer.status != kOk) {
-                    m_log.Write(
-                        LogRank::kFailure, "release_failed",
-                        {{"first", range.first()}, {"status", result.answer.status}, {"detail", result.detail}});
-                    return;
-                  }
-                  OnContact();
-                  for (Release& pending : m_releases) {
-                    if (pending.range.first() == range.first() && pending.range.fence() == range.fence() &&
-                        pending.range.last() == range.last() && !pending.done) {
-                      pending.done = true;
-                      pending.handover = m_wire.HandoverOf(result.answer);
-                      m_hooks.on_released(pending.range, pending.handover);
-                      return;
-                    }
-                  }
-                });
+  const bool renew = now < ServeEnd() && !m_suspect && !m_unconfirmed;
+  m_grants.Reconcile(table->table, renew, m_options.bounds->max_hold, now);
 }
 
 // ---- State ----
@@ -844,8 +588,8 @@
   if (IsSharded()) {
     // Only the keys that the target has now: those that it gave away arrive elsewhere.
     std::uint32_t offered = 0;
-    for (const Grant& grant : m_grants) {
-      *report.add_ranges() = m_meter.Measure(now, grant.first, grant.last);
+    for (const auto& [first, last] : m_grants.Ranges()) {
+      *report.add_ranges() = m_meter.Measure(now, first, last);
       offered += report.ranges(report.ranges_size() - 1).rate_milli();
     }
     report.set_offered_milli(offered);
--- a/src/mesh_target_p.h
+++ b/src/mesh_target_p.h
@@ -15,6 +15,7 @@
 
 #include "http1_p.h"
 #include "mesh_gate_p.h"
+#include "mesh_grants_p.h"
 #include "mesh_keys_p.h"
 #include "mesh_log_p.h"
 #include "mesh_model_p.h"
@@ -88,35 +89,6 @@
     TimePoint sent_at;  // to the target
     std::uint64_t call = 0;
   };
-  struct Grant {
-    std::uint32_t first = 0;
-    std::uint32_t last = 0;
-    std::uint64_t fence = 0;
-    std::string handover;
-    TimePoint until;   // the target certainly holds the keys until then
-    TimePoint lapses;  // the target certainly does not hold them after
-    TimePoint renew_at;
-    bool asked = false;       // a grant call is on its way
-    bool gives_away = false;  // has a successor that waits for an open grant to lapse
-  };
-  struct Release {
-    proto::KeyRange range;
-    TimePoint sent_at;
-    int sends = 0;
-    bool done = false;
-    std::string handover;
-    TimePoint lapses;
-    TimePoint retry_at;
-  };
-  // A grant whose answer is missing: the target may still carry it out, but its time counts from its arrival.
-  struct OpenGrant {
-    std::uint64_t number = 0;
-    std::uint32_t first = 0;
-    std::uint32_t last = 0;
-    TimePoint lapses;  // after this it has no effect any more
-  };
-  enum class KeyState { kGranted, kPending, kElsewhere };
-
   const MeshService* Service() const;
   bool IsSharded() const;
   bool MayServe(TimePoint now) const;
@@ -124,8 +96,8 @@
   bool IsLeaving() const;
   // End of the time in which a leaving target still serves the keys that it has.
   TimePoint ServeEnd() const;
-  proto::TargetLife LifeRecord() const;
-  KeyState StateOfKey(std::uint32_t key, TimePoint now, std::string* owner) const;
+  KeyGrantsHooks GrantHooks();
+  KeyGrants::KeyState StateOfKey(std::uint32_t key, TimePoint now, std::string* owner) const;
   void Offer(GateTicket ticket);
   void Send(GateTicket ticket);
   void OnResult(GateTicket ticket, HttpResult result);
@@ -135,14 +107,6 @@
   void ArmGate();
   void RetryHeld();
   void Reconcile(TimePoint now);
-  // When the last grant of any of these keys has certainly lapsed.
-  TimePoint LapseOf(std::uint32_t first, std::uint32_t last) const;
-  void AskGrant(Grant& grant, TimePoint now);
-  void OnGrantResult(std::uint32_t first, std::uint64_t fence, TimePoint sent, Duration hold, const HttpResult& result);
-  void StartRelease(const proto::KeyRange& range, TimePoint lapses, TimePoint now);
-  void SendRelease(Release& release, TimePoint now);
-  // Whether a grant of some of these keys may still take effect.
-  bool HasOpenGrant(std::uint32_t first, std::uint32_t last, TimePoint now) const;
   void OnContact();
   // Its address takes no new connection. That proves its end only if no established connection is left, and never for a
   // target that leaves, which may close its port first.
@@ -159,6 +123,7 @@
   const std::string m_address;
   MeshTargetHooks m_hooks;
   HttpClient m_client;
+  KeyGrants m_grants;
   MeshGate m_gate;
   KeyLoadMeter m_meter;
   std::optional<TargetBeat> m_life;
@@ -173,12 +138,6 @@
   TimePoint m_cold_until;  // as the target said, or as may be
   TimePoint m_last_contact;
   int m_failures = 0;  // in a row, without contact
-  // Grants of an earlier run of this node, which this run knows nothing of, have lapsed by then.
-  TimePoint m_earlier_grants_lapse;
-  std::vector<Grant> m_grants;
-  std::vector<Release> m_releases;
-  std::vector<OpenGrant> m_open_grants;
-  std::uint64_t m_last_grant_call = 0;
   std::unordered_map<GateTicket, Work> m_work;
   TimerId m_gate_timer = 0;
   TimePoint m_gate_timer_at;
--- /dev/null
+++ b/src/mesh_token_client_p.h
@@ -0,0 +1,57 @@
+// A node's calls for workspace tokens to the coordinator.
+
+#ifndef MAGNOLIAARCH_SRC_MESH_TOKEN_CLIENT_P_H_
+#define MAGNOLIAARCH_SRC_MESH_TOKEN_CLIENT_P_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include <asio.hpp>
+
+#include "mesh_coordinator_p.h"
+#include "mesh_limits_p.h"
+#include "mesh_log_p.h"
+#include "mesh_peers_p.h"
+#include "mesh_session_p.h"
+
+namespace magnoliaarch {
+
+// Path of such calls between nodes.
+inline constexpr std::string_view kTokenPath = "/tokens";
+
+class TokenClient {
+ public:
+  // `on_tokens`: the holder has got tokens or learned that there are none.
+  TokenClient(asio::io_context& context,
+              MeshPeers& peers,
+              MeshSession& session,
+              MeshCoordinatorDuty& coordinator,
+              MeshLog& log,
+              TokenHolder& holder,
+              std::function<void()> on_tokens);
+
+  // Asks for what is lacking, if it is time to.
+  void OnTick(TimePoint now);
+  // A request waits for tokens.
+  void AskNow();
+
+ private:
+  void OnReply(const proto::TokenCall& call, const proto::TokenReply& reply);
+
+  asio::io_context& m_context;
+  MeshPeers& m_peers;
+  MeshSession& m_session;
+  MeshCoordinatorDuty& m_coordinator;
+  MeshLog& m_log;
+  TokenHolder& m_holder;
+  std::function<void()> m_on_tokens;
+  const std::shared_ptr<const std::string> m_no_body = std::make_shared<const std::string>();
+  TimePoint m_ask_at;
+  bool m_asking = false;
+};
+
+}  // namespace magnoliaarch
+
+#endif  // MAGNOLIAARCH_SRC_MESH_TOKEN_CLIENT_P_H_
--- a/tests/mesh_wire_test.cc
+++ b/tests/mesh_wire_test.cc
@@ -259,7 +259,6 @@
 service = desk
 address = 127.0.0.1:1005
 registration = 127.0.0.1:1006
-beat_ms = 870
 [store]
 address = 127.0.0.1:1007
 min_lease_ms = 1000
