--- a/src/mesh_target.cc
+++ b/src/mesh_target.cc
@@ -454,6 +454,7 @@
   m_log.Write(LogRank::kState, "target_started",
               {{"id", beat.id},
                {"start_ms", beat.start_ms},
+               {"sequence", beat.sequence},
                {"service", beat.service},
                {"slots", beat.slots},
                {"cold_left_ms", beat.cold_left}});
--- a/tests/mesh_wire_test.cc
+++ b/tests/mesh_wire_test.cc
@@ -289,7 +289,7 @@
   REQUIRE_FALSE(refused.ok());
   const std::string message(refused.status().message());
   CHECK(message.find("f.ini:10:") != std::string::npos);
-  CHECK(message.find("f.ini:17:") != std::string::npos);
+  CHECK(message.find("f.ini:16:") != std::string::npos);
   CHECK(message.find("[extra]") != std::string::npos);
 }
 
