Let a target that makes its first call move its keys at once

A life's first call (sequence 1) proves that no earlier run knew of it. Ruled out: a slow plan (written 0.2 s after the grants) and the store (revision seen at once).

--- a/src/mesh_target.cc
+++ b/src/mesh_target.cc
@@ -30,6 +30,8 @@
 // A target that refuses work says so at once, this often.
 constexpr Duration kOverloadReport = std::chrono::milliseconds(200);
 constexpr double kOfferedDecayS = 1.5;
+// Of a life's first call. An earlier run of this node cannot have heard of such a life, nor granted it keys.
+constexpr std::uint64_t kFirstSequence = 1;
 // The target does not hold the request's key, or is another one.
 constexpr int kMisdirected = 421;
 
@@ -462,7 +464,7 @@
   life.set_node(m_options.node);
   life.set_id(beat.id);
   life.set_start_ms(beat.start_ms);
-  m_grants.BeginLife(life, m_life.has_value());
+  m_grants.BeginLife(life, m_life.has_value() || beat.sequence <= kFirstSequence);
   m_leaving_since.reset();
   m_client.CloseIdle(TimePoint::max());
 }
