--- a/src/mesh_choice_p.h
+++ b/src/mesh_choice_p.h
@@ -55,7 +55,7 @@
   const std::string m_domain;
   const double m_domain_preference;
   std::map<std::string, TargetHint> m_hints;
-  std::unordered_map<std::string, double> m_route_s;  // mean time of a route's requests at any target
+  std::unordered_map<std::string, double> m_route_s;           // mean time of a route's requests at any target
   std::unordered_map<std::string, TimePoint> m_without_since;  // services for which none was found
   std::uint64_t m_random;
 };
