Stop parsing a target's load that nothing reads

The adapter read the load header of each answer, twice, into fields without a reader. They are gone, and an include that the choice of targets left unused. No behaviour changes: the header is still kept from callers.

--- a/src/mesh_ingress.cc
+++ b/src/mesh_ingress.cc
@@ -1,7 +1,6 @@
 #include "mesh_ingress_p.h"
 
 #include <algorithm>
-#include <cmath>
 #include <utility>
 
 namespace magnoliaarch {
--- a/src/mesh_wire_p.h
+++ b/src/mesh_wire_p.h
@@ -31,9 +31,6 @@
   bool own = false;         // carries the id of the request
   bool not_run = false;     // the target states that it did not run the request
   bool other_life = false;  // another target, or another life, has the address
-  // Load that the target states, if it does.
-  std::optional<std::uint32_t> running;
-  std::optional<std::uint32_t> waiting;
 };
 
 struct KeyGrant {
