Count bytes between nodes by path, and split reports out of the node

Control traffic could not be told from requests, so its budget was not checked. Connections to the store and to other nodes count their bytes, and messages between nodes count by path; all are on the metrics address.

--- a/src/h2_session.cc
+++ b/src/h2_session.cc
@@ -373,6 +373,9 @@
           return;
         }
         self->m_last_received = BootClock::now();
+        if (self->m_options.bytes) {
+          self->m_options.bytes->received += bytes;
+        }
         const ssize_t taken = nghttp2_session_mem_recv(self->m_session, self->m_in.data(), bytes);
         self->Deliver();
         if (taken < 0) {
@@ -462,6 +465,9 @@
     return;
   }
   m_writing = true;
+  if (m_options.bytes) {
+    m_options.bytes->sent += m_out.size();
+  }
   asio::async_write(m_socket, asio::buffer(m_out),
                     [self = shared_from_this()](const asio::error_code& error, std::size_t /*bytes*/) {
                       self->m_writing = false;
--- a/src/h2_session_p.h
+++ b/src/h2_session_p.h
@@ -17,6 +17,7 @@
 #include <utility>
 #include <vector>
 
+#include "byte_count_p.h"
 #include "magnoliaarch/types.h"
 
 namespace magnoliaarch {
@@ -55,6 +56,7 @@
   std::size_t read_bytes = 256 << 10;  // buffer of one read
   std::size_t max_message_bytes = 64 << 20;
   std::size_t max_buffered_bytes = 256 << 20;  // of all incomplete messages of the connection
+  std::shared_ptr<ByteCount> bytes;            // counts what the connection carries, if given
 };
 
 // Not thread-safe: all calls on the context's thread. Keeps itself alive while the connection is open.
--- a/src/http1_client.cc
+++ b/src/http1_client.cc
@@ -103,6 +103,7 @@
   }
 
   void Write() {
+    m_owner->m_bytes.sent += m_out.size();
     asio::async_write(m_socket, asio::buffer(m_out),
                       [self = shared_from_this()](const asio::error_code& error, std::size_t /*bytes*/) {
                         if (!self->m_open) {
@@ -138,6 +139,7 @@
       }
       return;
     }
+    m_owner->m_bytes.received += bytes;
     if (!m_done) {
       // Bytes without a request belong to nobody.
       Drop();
--- a/src/http1_p.h
+++ b/src/http1_p.h
@@ -18,6 +18,7 @@
 #include <vector>
 
 #include "absl/status/status.h"
+#include "byte_count_p.h"
 #include "magnoliaarch/types.h"
 
 namespace magnoliaarch {
@@ -204,6 +205,8 @@
   void CloseAll();
   // Established connections, idle or in use. A server that ended has none.
   std::size_t Connected() const;
+  // What all connections so far carried.
+  const ByteCount& Bytes() const { return m_bytes; }
 
  private:
   class Connection;
@@ -215,6 +218,7 @@
   std::vector<std::shared_ptr<Connection>> m_idle;
   std::unordered_map<std::uint64_t, std::shared_ptr<Connection>> m_busy;
   std::uint64_t m_last_call = 0;
+  ByteCount m_bytes;
   std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
--- a/src/mesh_node.cc
+++ b/src/mesh_node.cc
@@ -16,6 +16,7 @@
 #include "mesh_log_p.h"
 #include "mesh_peers_p.h"
 #include "mesh_relay_p.h"
+#include "mesh_reports_p.h"
 #include "mesh_session_p.h"
 #include "mesh_status_p.h"
 #include "mesh_stop_p.h"
@@ -31,29 +32,12 @@
 
 // Leases, grants and time-outs are looked at this often. Each turn is a wake-up.
 constexpr Duration kTick = std::chrono::milliseconds(50);
-constexpr Duration kReportPeriod = std::chrono::milliseconds(400);
-// Urgent reports are this far apart.
-constexpr Duration kUrgentReport = std::chrono::milliseconds(15);
-constexpr Duration kReportTimeout = std::chrono::milliseconds(500);
-constexpr Duration kPushTimeout = std::chrono::milliseconds(600);
-// A replica this old is refreshed from any node that answers.
-constexpr Duration kStaleReplica = std::chrono::milliseconds(1500);
-constexpr Duration kAskPeriod = std::chrono::milliseconds(500);
-// Without answers of a coordinator for this long tokens come from the node's own part of each limit.
-constexpr Duration kWithoutCoordinator = std::chrono::milliseconds(1200);
 constexpr Duration kSettingsCheck = std::chrono::seconds(2);
 constexpr std::size_t kStoreConnections = 8;
 // Tickets of requests that this node sends to its own target; those of other nodes are numbered by their calls.
 constexpr std::uint64_t kLocalTicket = std::uint64_t{1} << 63U;
 
 const std::string kRunPath = "/run";
-const std::string kReportPath = "/report";
-const std::string kPushPath = "/push";
-
-std::uint32_t ToMs(Duration duration) {
-  return static_cast<std::uint32_t>(
-      std::clamp<std::int64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count(), 0, INT32_MAX));
-}
 
 std::int64_t ModifiedAt(const std::string& path) {
   struct stat info {};
@@ -86,6 +70,7 @@
         m_table(m_timers, m_session, m_log, m_settings.service),
         m_target(m_context, m_timers, *m_wire, m_log, TargetOptions(), TargetHooks()),
         m_ingress(m_timers, *m_wire, m_log, m_metrics, IngressOptions(), IngressHooks()),
+        m_reports(m_timers, m_peers, m_session, m_coordinator, m_ingress, m_log, [this] { return OwnReport(); }),
         m_token_client(m_context,
                        m_peers,
                        m_session,
@@ -179,17 +164,14 @@
   MeshSessionHooks SessionHooks() {
     MeshSessionHooks hooks;
     hooks.on_view = [this] { OnViewChanged(); };
-    hooks.on_registered = [this] { m_report_at = TimePoint(); };
+    hooks.on_registered = [this] { m_reports.ReportSoon(); };
     return hooks;
   }
 
   MeshCoordinatorHooks CoordinatorHooks() {
     MeshCoordinatorHooks hooks;
     hooks.push = [this](const proto::MeshMember& to, const proto::MeshPush& push, std::function<void(bool)> done) {
-      m_peers.Call(AddressOf(to), kPushPath, push.SerializeAsString(), m_empty, kPushTimeout,
-                   [done = std::move(done)](const MeshCallResult& result) {
-                     done(result.outcome == MeshCallOutcome::kAnswered);
-                   });
+      m_reports.Push(to, push, std::move(done));
     };
     return hooks;
   }
@@ -204,7 +186,7 @@
     hooks.on_fences_refused = [this](const std::set<std::uint64_t>& fences) {
       m_table.RenewFences(LocalLife(), fences);
     };
-    hooks.on_changed = [this] { ReportSoon(); };
+    hooks.on_changed = [this] { m_reports.ReportSoon(); };
     return hooks;
   }
 
@@ -332,12 +314,7 @@
                         reply(m_packer.Pack(answer), std::move(body));
                       });
     } else if (message.path == kReportPath) {
-      proto::MeshReport report;
-      proto::MeshReply answer;
-      if (report.ParseFromString(message.head)) {
-        AnswerReport(report, &answer);
-      }
-      reply(answer.SerializeAsString(), "");
+      reply(m_reports.OnReport(message.head), "");
     } else if (message.path == kTokenPath) {
       proto::TokenCall tokens;
       proto::TokenReply answer;
@@ -346,10 +323,7 @@
       }
       reply(answer.SerializeAsString(), "");
     } else if (message.path == kPushPath) {
-      proto::MeshPush push;
-      if (push.ParseFromString(message.head)) {
-        OnPush(push);
-      }
+      m_reports.OnPush(message.head);
       reply("", "");
     } else if (message.path == kRelayPath) {
       ServeRelayedCall(m_store, message, std::move(reply));
@@ -359,7 +333,7 @@
     }
   }
 
-  // ---- Replicas and reports ----
+  // ---- Replica ----
 
   void OnViewChanged() {
     if (m_view_posted) {
@@ -387,138 +361,19 @@
     });
   }
 
-  void OnPush(const proto::MeshPush& push) {
-    const Duration age = std::chrono::milliseconds(push.store_age_ms());
-    m_session.Merge(push.items(), push.revision(), age);
-  }
-
-  void AnswerReport(const proto::MeshReport& report, proto::MeshReply* reply) {
-    const TimePoint now = BootClock::now();
-    m_coordinator.OnReport(now, report, reply);
-    reply->set_store_age_ms(ToMs(m_session.Age(now)));
-    // A node that lost touch asks for everything after its revision.
-    if (!reply->coordinator() && report.revision() > 0) {
-      reply->set_revision(m_session.View().Revision());
-      for (proto::ViewItem& item : m_session.View().ItemsAfter(report.revision() - 1)) {
-        *reply->add_items() = std::move(item);
-      }
-    }
-  }
-
-  proto::MeshReport BuildReport(TimePoint now) {
+  proto::MeshReport OwnReport() {
     proto::MeshReport report;
     report.set_node(m_settings.node);
     report.set_incarnation(m_incarnation);
-    *report.mutable_target() = m_target.Report(now);
+    *report.mutable_target() = m_target.Report(BootClock::now());
     report.set_stopping(m_stop.HandedOver());
     return report;
   }
 
-  void ReportSoon() {
-    const TimePoint now = BootClock::now();
-    const TimePoint at = std::max(now, m_reported_at + kUrgentReport);
-    if (m_report_timer != 0) {
-      return;
-    }
-    m_report_timer = m_timers.At(at, [this] {
-      m_report_timer = 0;
-      SendReport(BootClock::now());
-    });
-  }
-
-  void SendReport(TimePoint now) {
-    const auto& coordinator = m_session.View().Coordinator();
-    if (!coordinator.has_value()) {
-      return;
-    }
-    m_reported_at = now;
-    m_report_at = now + kReportPeriod;
-    const proto::MeshReport report = BuildReport(now);
-    if (m_coordinator.IsCoordinator()) {
-      proto::MeshReply reply;
-      m_coordinator.OnReport(now, report, &reply);
-      OnReply(reply, now);
-      return;
-    }
-    const proto::MeshMember* member = m_session.View().FindMember(coordinator->node());
-    if (member == nullptr || member->node() == m_settings.node) {
-      return;
-    }
-    m_peers.Call(AddressOf(*member), kReportPath, report.SerializeAsString(), m_empty, kReportTimeout,
-                 [this, now](const MeshCallResult& result) {
-                   proto::MeshReply reply;
-                   if (result.outcome == MeshCallOutcome::kAnswered && reply.ParseFromString(result.answer.head)) {
-                     OnReply(reply, now);
-                   } else {
-                     m_log.Write(LogRank::kFailure, "report_failed", {{"detail", result.detail}});
-                   }
-                 });
-  }
-
-  void OnReply(const proto::MeshReply& reply, TimePoint asked) {
-    if (!reply.coordinator()) {
-      return;
-    }
-    m_coordinator_heard = BootClock::now();
-    m_session.OnSyncedByCoordinator(asked, std::chrono::milliseconds(reply.store_age_ms()));
-    std::map<std::uint32_t, std::string> names;
-    for (const auto& [node, member] : m_session.View().Members()) {
-      names.emplace(NodeHash(node), node);
-    }
-    for (const proto::LoadHint& update : reply.hints()) {
-      const auto name = names.find(update.node());
-      if (name == names.end()) {
-        continue;
-      }
-      TargetHint& hint = m_ingress.Hints()[name->second];
-      hint.accepts = (update.flags() & 1U) != 0;
-      hint.cold = (update.flags() & 2U) != 0;
-      hint.load = update.load_permille() / 1000.0;
-      hint.service_s = std::max<std::uint32_t>(update.service_us(), 1000) / 1e6;
-      hint.in_flight_at_report = hint.in_flight;
-    }
-    m_ingress.OnViewChanged();
-  }
-
-  // Learns from any other node what this one has missed.
-  void AskAnyone(TimePoint now) {
-    if (now < m_ask_at) {
-      return;
-    }
-    m_ask_at = now + kAskPeriod;
-    const proto::MeshMember* member = RandomMember();
-    if (member == nullptr) {
-      return;
-    }
-    proto::MeshReport report;
-    report.set_node(m_settings.node);
-    report.set_incarnation(m_incarnation);
-    report.set_revision(std::max<std::int64_t>(m_session.View().Revision(), 1));
-    m_peers.Call(AddressOf(*member), kReportPath, report.SerializeAsString(), m_empty, kReportTimeout,
-                 [this](const MeshCallResult& result) {
-                   proto::MeshReply reply;
-                   if (result.outcome == MeshCallOutcome::kAnswered && reply.ParseFromString(result.answer.head) &&
-                       reply.revision() != 0) {
-                     m_session.Merge(reply.items(), reply.revision(), std::chrono::milliseconds(reply.store_age_ms()));
-                   }
-                 });
-  }
-
-  const proto::MeshMember* RandomMember() {
-    const auto& members = m_session.View().Members();
-    std::vector<const proto::MeshMember*> others;
-    for (const auto& [node, member] : members) {
-      if (node != m_settings.node && m_ingress.Hints()[node].avoid_until < BootClock::now()) {
-        others.push_back(&member);
-      }
-    }
-    return others.empty() ? nullptr : others[RandomNumber() % others.size()];
-  }
-
   // ---- Store calls through other nodes ----
 
   bool Relay(const HttpMessage& call, Duration timeout, HttpClient::Done done) {
-    const proto::MeshMember* member = RandomMember();
+    const proto::MeshMember* member = m_reports.RandomMember();
     if (member == nullptr) {
       return false;
     }
@@ -546,15 +401,9 @@
     m_coordinator.OnTick(now, m_store.IsReachable(), m_stop.Begun());
     m_target.OnTick(now);
     m_peers.OnTick(now);
-    if (now >= m_report_at) {
-      SendReport(now);
-    }
+    m_reports.OnTick(now);
     m_token_client.OnTick(now);
-    if ((m_session.Age(now) > kStaleReplica && now - m_coordinator_heard > kStaleReplica) ||
-        !m_session.HearsOperator(now)) {
-      AskAnyone(now);
-    }
-    if (!m_session.View().Coordinator().has_value() || now - m_coordinator_heard > kWithoutCoordinator) {
+    if (!m_reports.HasCoordinator(now)) {
       m_ingress.Tokens().OnWithoutCoordinator(now, now - m_ticked_at, m_session.View().Members().size());
     }
     if (now - m_slow_tick_at > std::chrono::milliseconds(500)) {
@@ -641,7 +490,7 @@
     }
     if (steps.hand_over) {
       m_target.SetStopping();
-      SendReport(now);
+      m_reports.ReportNow(now);
     }
     if (steps.refuse_work) {
       m_target.RefuseNew();
@@ -681,6 +530,9 @@
     status.target_queued = m_target.Gate().Queued();
     status.target_service = m_target.Gate().MeanService();
     status.peer_connections = m_peers.Connections();
+    status.store_bytes = m_store.Bytes();
+    status.peer_bytes = m_peers.Bytes();
+    status.message_bytes = m_peers.MessageBytes();
     status.log_dropped = m_log.Dropped();
     return status;
   }
@@ -689,7 +541,6 @@
   const std::string m_settings_path;
   const std::unique_ptr<MeshWire> m_wire;
   const std::uint64_t m_incarnation;
-  const std::shared_ptr<const std::string> m_empty = std::make_shared<const std::string>();
   MeshLog m_log;
   MetricsRegistry m_metrics;
   asio::io_context m_context{1};
@@ -704,6 +555,7 @@
   TableWriter m_table;
   MeshTarget m_target;
   MeshIngress m_ingress;
+  ReportExchange m_reports;
   TokenClient m_token_client;
   Http1Server m_callers;
   Http1Server m_ready;
@@ -714,11 +566,6 @@
   std::unordered_map<std::uint64_t, std::function<void(SendResult)>> m_local_done;
   bool m_view_posted = false;
   std::uint64_t m_config_version = 0;
-  TimePoint m_report_at;
-  TimePoint m_reported_at;
-  TimerId m_report_timer = 0;
-  TimePoint m_coordinator_heard;
-  TimePoint m_ask_at;
   TimePoint m_ticked_at;
   TimePoint m_slow_tick_at;
   TimePoint m_settings_checked_at;
--- a/src/mesh_peers.cc
+++ b/src/mesh_peers.cc
@@ -1,5 +1,6 @@
 #include "mesh_peers_p.h"
 
+#include <numeric>
 #include <utility>
 
 #include <fmt/format.h>
@@ -19,14 +20,22 @@
 // Accepted connections that are silent for this long are closed.
 constexpr Duration kServedIdle = std::chrono::seconds(60);
 constexpr int kOk = 200;
+// Bytes are counted for this many paths; nodes use six, and a peer that sends others must not fill the memory.
+constexpr std::size_t kMaxPaths = 16;
 // Messages between nodes are small and connections many.
 constexpr std::size_t kReadBytes = 8 << 10;
 
-H2SessionOptions SessionOptions(bool server) {
-  H2SessionOptions options;
-  options.server = server;
-  options.read_bytes = kReadBytes;
-  return options;
+std::size_t FieldBytes(const std::vector<std::string>& fields) {
+  return std::accumulate(fields.begin(), fields.end(), std::size_t{0},
+                         [](std::size_t sum, const std::string& field) { return sum + field.size(); });
+}
+
+std::size_t BytesOf(const H2Message& message) {
+  return message.head.size() + message.body.size() + FieldBytes(message.fields);
+}
+
+std::size_t BytesOf(const MessageHead& head, const std::string& body) {
+  return head.head.size() + body.size() + FieldBytes(head.fields);
 }
 
 }  // namespace
@@ -53,6 +62,14 @@
   }
 }
 
+H2SessionOptions MeshPeers::SessionOptions(bool server) const {
+  H2SessionOptions options;
+  options.server = server;
+  options.read_bytes = kReadBytes;
+  options.bytes = m_bytes;
+  return options;
+}
+
 absl::Status MeshPeers::Start() {
   const absl::Status status = Listen(m_acceptor, m_ip, m_port);
   if (!status.ok()) {
@@ -88,12 +105,20 @@
     }
     const std::uint64_t call = ++m_last_id;
     it->second.streams.emplace(stream, call);
-    m_hooks.on_message(call, std::move(message), [this, alive, link, stream](MessageHead head, std::string body) {
+    const bool counted = m_message_bytes.size() < kMaxPaths || m_message_bytes.contains(message.path);
+    ByteCount* count = counted ? &m_message_bytes[message.path] : nullptr;
+    if (count != nullptr) {
+      count->received += BytesOf(message);
+    }
+    m_hooks.on_message(call, std::move(message), [=, this](MessageHead head, std::string body) {
       if (alive.expired()) {
         return;
       }
       const auto served = m_served.find(link);
       if (served != m_served.end() && served->second.streams.erase(stream) != 0) {
+        if (count != nullptr) {
+          count->sent += BytesOf(head, body);
+        }
         served->second.session->Respond(stream, kOk, std::move(head.head), std::move(body), head.fields);
       }
     });
@@ -224,6 +249,7 @@
     return;
   }
   PendingCall& call = it->second;
+  m_message_bytes[call.path].sent += BytesOf(call.head, *call.body);
   call.stream = link.session->Send(call.path, std::move(call.head.head), call.body, nullptr, call.head.fields);
   if (call.stream < 0) {
     const std::weak_ptr<bool> alive = m_alive;
@@ -313,6 +339,7 @@
   const PendingCall call = std::move(it->second);
   m_calls.erase(it);
   m_timers.Cancel(call.timer);
+  m_message_bytes[call.path].received += BytesOf(result.answer);
   call.done(std::move(result));
 }
 
--- a/src/mesh_peers_p.h
+++ b/src/mesh_peers_p.h
@@ -81,6 +81,10 @@
   // Pings silent connections and closes those that stay silent. Called periodically.
   void OnTick(TimePoint now);
   std::size_t Connections() const { return m_links.size(); }
+  // What all connections carried, framing included.
+  const ByteCount& Bytes() const { return *m_bytes; }
+  // What the messages of each path hold, without framing. Answers count for the path of their call.
+  const std::map<std::string, ByteCount>& MessageBytes() const { return m_message_bytes; }
 
  private:
   struct PendingCall {
@@ -117,6 +121,7 @@
   void SendOn(Link& link, std::uint64_t id);
   void FailLink(const MeshPeerAddress& peer, const std::string& detail);
   void Finish(std::uint64_t id, MeshCallResult result);
+  H2SessionOptions SessionOptions(bool server) const;
 
   asio::io_context& m_context;
   TimerQueue& m_timers;
@@ -128,6 +133,8 @@
   std::unordered_map<std::uint64_t, PendingCall> m_calls;
   std::unordered_map<std::uint64_t, Served> m_served;
   std::uint64_t m_last_id = 0;
+  std::shared_ptr<ByteCount> m_bytes = std::make_shared<ByteCount>();
+  std::map<std::string, ByteCount> m_message_bytes;
   std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
--- /dev/null
+++ b/src/mesh_reports.cc
@@ -0,0 +1,194 @@
+#include "mesh_reports_p.h"
+
+#include <algorithm>
+#include <chrono>
+#include <map>
+#include <utility>
+#include <vector>
+
+namespace magnoliaarch {
+namespace {
+
+constexpr Duration kReportPeriod = std::chrono::milliseconds(400);
+// Urgent reports are this far apart.
+constexpr Duration kUrgentReport = std::chrono::milliseconds(15);
+constexpr Duration kReportTimeout = std::chrono::milliseconds(500);
+constexpr Duration kPushTimeout = std::chrono::milliseconds(600);
+// A replica this old is refreshed from any node that answers.
+constexpr Duration kStaleReplica = std::chrono::milliseconds(1500);
+constexpr Duration kAskPeriod = std::chrono::milliseconds(500);
+// Without answers of a coordinator for this long tokens come from the node's own part of each limit.
+constexpr Duration kWithoutCoordinator = std::chrono::milliseconds(1200);
+
+std::uint32_t ToMs(Duration duration) {
+  return static_cast<std::uint32_t>(
+      std::clamp<std::int64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count(), 0, INT32_MAX));
+}
+
+}  // namespace
+
+ReportExchange::ReportExchange(TimerQueue& timers,
+                               MeshPeers& peers,
+                               MeshSession& session,
+                               MeshCoordinatorDuty& coordinator,
+                               MeshIngress& ingress,
+                               MeshLog& log,
+                               std::function<proto::MeshReport()> own_report)
+    : m_timers(timers),
+      m_peers(peers),
+      m_session(session),
+      m_coordinator(coordinator),
+      m_ingress(ingress),
+      m_log(log),
+      m_own_report(std::move(own_report)) {}
+
+void ReportExchange::OnTick(TimePoint now) {
+  if (now >= m_report_at) {
+    ReportNow(now);
+  }
+  const bool stale = m_session.Age(now) > kStaleReplica && now - m_coordinator_heard > kStaleReplica;
+  if (stale || !m_session.HearsOperator(now)) {
+    AskAnyone(now);
+  }
+}
+
+bool ReportExchange::HasCoordinator(TimePoint now) const {
+  return m_session.View().Coordinator().has_value() && now - m_coordinator_heard <= kWithoutCoordinator;
+}
+
+void ReportExchange::ReportSoon() {
+  if (m_report_timer != 0) {
+    return;
+  }
+  const TimePoint at = std::max(BootClock::now(), m_reported_at + kUrgentReport);
+  m_report_timer = m_timers.At(at, [this] {
+    m_report_timer = 0;
+    ReportNow(BootClock::now());
+  });
+}
+
+void ReportExchange::ReportNow(TimePoint now) {
+  const auto& coordinator = m_session.View().Coordinator();
+  if (!coordinator.has_value()) {
+    return;
+  }
+  m_reported_at = now;
+  m_report_at = now + kReportPeriod;
+  const proto::MeshReport report = m_own_report();
+  if (m_coordinator.IsCoordinator()) {
+    proto::MeshReply reply;
+    m_coordinator.OnReport(now, report, &reply);
+    OnReply(reply, now);
+    return;
+  }
+  const proto::MeshMember* member = m_session.View().FindMember(coordinator->node());
+  if (member == nullptr || member->node() == m_session.Self().node()) {
+    return;
+  }
+  m_peers.Call(AddressOf(*member), kReportPath, report.SerializeAsString(), m_no_body, kReportTimeout,
+               [this, now](const MeshCallResult& result) {
+                 proto::MeshReply reply;
+                 if (result.outcome == MeshCallOutcome::kAnswered && reply.ParseFromString(result.answer.head)) {
+                   OnReply(reply, now);
+                 } else {
+                   m_log.Write(LogRank::kFailure, "report_failed", {{"detail", result.detail}});
+                 }
+               });
+}
+
+void ReportExchange::OnReply(const proto::MeshReply& reply, TimePoint asked) {
+  if (!reply.coordinator()) {
+    return;
+  }
+  m_coordinator_heard = BootClock::now();
+  m_session.OnSyncedByCoordinator(asked, std::chrono::milliseconds(reply.store_age_ms()));
+  std::map<std::uint32_t, std::string> names;
+  for (const auto& [node, member] : m_session.View().Members()) {
+    names.emplace(NodeHash(node), node);
+  }
+  for (const proto::LoadHint& update : reply.hints()) {
+    const auto name = names.find(update.node());
+    if (name == names.end()) {
+      continue;
+    }
+    TargetHint& hint = m_ingress.Hints()[name->second];
+    hint.accepts = (update.flags() & 1U) != 0;
+    hint.cold = (update.flags() & 2U) != 0;
+    hint.load = update.load_permille() / 1000.0;
+    hint.service_s = std::max<std::uint32_t>(update.service_us(), 1000) / 1e6;
+    hint.in_flight_at_report = hint.in_flight;
+  }
+  m_ingress.OnViewChanged();
+}
+
+// Learns from any other node what this one has missed.
+void ReportExchange::AskAnyone(TimePoint now) {
+  if (now < m_ask_at) {
+    return;
+  }
+  m_ask_at = now + kAskPeriod;
+  const proto::MeshMember* member = RandomMember();
+  if (member == nullptr) {
+    return;
+  }
+  proto::MeshReport report;
+  report.set_node(m_session.Self().node());
+  report.set_incarnation(m_session.Self().incarnation());
+  report.set_revision(std::max<std::int64_t>(m_session.View().Revision(), 1));
+  m_peers.Call(AddressOf(*member), kReportPath, report.SerializeAsString(), m_no_body, kReportTimeout,
+               [this](const MeshCallResult& result) {
+                 proto::MeshReply reply;
+                 if (result.outcome == MeshCallOutcome::kAnswered && reply.ParseFromString(result.answer.head) &&
+                     reply.revision() != 0) {
+                   m_session.Merge(reply.items(), reply.revision(), std::chrono::milliseconds(reply.store_age_ms()));
+                 }
+               });
+}
+
+std::string ReportExchange::OnReport(const std::string& message) {
+  proto::MeshReport report;
+  proto::MeshReply reply;
+  if (!report.ParseFromString(message)) {
+    m_log.Write(LogRank::kFailure, "peer_message_unreadable", {{"path", kReportPath}});
+    return "";
+  }
+  const TimePoint now = BootClock::now();
+  m_coordinator.OnReport(now, report, &reply);
+  reply.set_store_age_ms(ToMs(m_session.Age(now)));
+  // A node that lost touch asks for everything after its revision.
+  if (!reply.coordinator() && report.revision() > 0) {
+    reply.set_revision(m_session.View().Revision());
+    for (proto::ViewItem& item : m_session.View().ItemsAfter(report.revision() - 1)) {
+      *reply.add_items() = std::move(item);
+    }
+  }
+  return reply.SerializeAsString();
+}
+
+void ReportExchange::OnPush(const std::string& message) {
+  proto::MeshPush push;
+  if (!push.ParseFromString(message)) {
+    m_log.Write(LogRank::kFailure, "peer_message_unreadable", {{"path", kPushPath}});
+    return;
+  }
+  m_session.Merge(push.items(), push.revision(), std::chrono::milliseconds(push.store_age_ms()));
+}
+
+void ReportExchange::Push(const proto::MeshMember& to, const proto::MeshPush& push, std::function<void(bool)> done) {
+  m_peers.Call(
+      AddressOf(to), kPushPath, push.SerializeAsString(), m_no_body, kPushTimeout,
+      [done = std::move(done)](const MeshCallResult& result) { done(result.outcome == MeshCallOutcome::kAnswered); });
+}
+
+const proto::MeshMember* ReportExchange::RandomMember() {
+  const TimePoint now = BootClock::now();
+  std::vector<const proto::MeshMember*> others;
+  for (const auto& [node, member] : m_session.View().Members()) {
+    if (node != m_session.Self().node() && m_ingress.Hints()[node].avoid_until < now) {
+      others.push_back(&member);
+    }
+  }
+  return others.empty() ? nullptr : others[RandomNumber() % others.size()];
+}
+
+}  // namespace magnoliaarch
--- a/src/mesh_status_p.h
+++ b/src/mesh_status_p.h
@@ -5,8 +5,10 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <string>
 
+#include "byte_count_p.h"
 #include "magnoliaarch/metrics.h"
 #include "magnoliaarch/types.h"
 #include "mesh_view_p.h"
@@ -30,6 +32,9 @@
   std::size_t target_queued = 0;
   Duration target_service{};  // mean time of a request at the target
   std::size_t peer_connections = 0;
+  ByteCount store_bytes;
+  ByteCount peer_bytes;                            // between nodes, framing included
+  std::map<std::string, ByteCount> message_bytes;  // between nodes by path, without framing
   std::uint64_t log_dropped = 0;
 };
 
--- a/src/mesh_store_p.h
+++ b/src/mesh_store_p.h
@@ -43,6 +43,7 @@
   bool IsReachable() const { return m_reachable; }
   std::uint64_t Calls() const { return m_calls; }
   std::uint64_t Relayed() const { return m_relayed; }
+  const ByteCount& Bytes() const { return m_client.Bytes(); }
   void OnTick(TimePoint now) { m_client.CloseIdle(now); }
 
  private:
--- /dev/null
+++ b/tests/mesh_exchange_test.cc
@@ -0,0 +1,308 @@
+#include <catch2/catch.hpp>
+
+#include "kv_platform.h"
+#include "magnoliaarch/metrics.h"
+#include "mesh_coordinator_p.h"
+#include "mesh_ingress_p.h"
+#include "mesh_relay_p.h"
+#include "mesh_reports_p.h"
+#include "mesh_util.h"
+
+namespace magnoliaarch {
+namespace {
+
+constexpr std::uint64_t kIncarnation = 7;
+
+// A store that gives every call the same answer, or none.
+class FakeStore {
+ public:
+  explicit FakeStore(asio::io_context& context) {
+    Http1ServerOptions options;
+    options.ip = "127.0.0.1";
+    m_server = std::make_unique<Http1Server>(
+        context, options,
+        [this](const std::shared_ptr<HttpExchange>& exchange) {
+          calls.push_back(exchange->request);
+          if (status == 0) {
+            m_unanswered.push_back(exchange);
+            return;
+          }
+          HttpMessage answer;
+          answer.status = status;
+          answer.body = body;
+          exchange->Respond(std::move(answer));
+        },
+        nullptr);
+    REQUIRE(m_server->Start().ok());
+  }
+  std::uint16_t Port() const { return m_server->Port(); }
+
+  int status = 200;  // 0: no answer
+  std::string body = R"({"revision":41})";
+  std::vector<HttpMessage> calls;
+
+ private:
+  std::unique_ptr<Http1Server> m_server;
+  std::vector<std::shared_ptr<HttpExchange>> m_unanswered;
+};
+
+// The parts of a node that talk to other nodes, without their periodic work.
+class Node {
+ public:
+  Node(asio::io_context& context, const std::string& name, std::uint16_t store_port)
+      : port(FreePort(context)),
+        m_timers(context),
+        m_wire(CreateKvPlatform()),
+        m_log(name),
+        peers(context, m_timers, "127.0.0.1", port, PeerHooks()),
+        store(context,
+              HttpClientOptions{"127.0.0.1", store_port, 4},
+              *m_wire,
+              m_log,
+              [this](const HttpMessage& call, Duration timeout, HttpClient::Done done) {
+                if (other == nullptr) {
+                  return false;
+                }
+                RelayStoreCall(peers, other->Address(), call, timeout, std::move(done));
+                return true;
+              }),
+        session(m_timers, store, *m_wire, m_log, Self(name), std::chrono::seconds(1), SessionHooks()),
+        coordinator(session, m_log, name, kIncarnation, {}),
+        ingress(m_timers, *m_wire, m_log, m_metrics, IngressOptions(name), {}),
+        reports(m_timers, peers, session, coordinator, ingress, m_log, [this] { return OwnReport(); }) {
+    REQUIRE(peers.Start().ok());
+  }
+
+  MeshPeerAddress Address() const { return {"127.0.0.1", port}; }
+
+  // Tells the node what the store holds.
+  void Learn(const std::string& key, const std::string& value) {
+    google::protobuf::RepeatedPtrField<proto::ViewItem> items;
+    proto::ViewItem* item = items.Add();
+    item->set_key(key);
+    item->set_value(value);
+    item->set_revision(++m_revision);
+    session.Merge(items, m_revision, Duration(0));
+  }
+  void LearnMember(const std::string& name, const std::string& service, std::uint16_t peer_port) {
+    proto::MeshMember member = Self(name);
+    member.set_service(service);
+    member.set_ip("127.0.0.1");
+    member.set_peer_port(peer_port);
+    Learn("magnolia/member/" + name, member.SerializeAsString());
+  }
+  void BecomeCoordinator(const std::string& name) {
+    proto::MeshCoordinator record;
+    record.set_node(name);
+    record.set_incarnation(kIncarnation);
+    Learn("magnolia/coordinator", record.SerializeAsString());
+  }
+
+  const std::uint16_t port;
+  Node* other = nullptr;  // carries store calls
+
+ private:
+  static proto::MeshMember Self(const std::string& name) {
+    proto::MeshMember self;
+    self.set_node(name);
+    self.set_incarnation(kIncarnation);
+    return self;
+  }
+  static MeshIngressOptions IngressOptions(const std::string& name) {
+    MeshIngressOptions options;
+    options.node = name;
+    return options;
+  }
+  static MeshSessionHooks SessionHooks() {
+    MeshSessionHooks hooks;
+    hooks.on_view = [] {};
+    hooks.on_registered = [] {};
+    return hooks;
+  }
+  MeshPeers::Hooks PeerHooks() {
+    MeshPeers::Hooks hooks;
+    hooks.on_message = [this](std::uint64_t, H2Message message, const MeshPeers::Reply& reply) {
+      if (message.path == kRelayPath) {
+        ServeRelayedCall(store, message, reply);
+      } else {
+        reply(reports.OnReport(message.head), "");
+      }
+    };
+    hooks.on_abandoned = [](std::uint64_t) {};
+    return hooks;
+  }
+  proto::MeshReport OwnReport() const {
+    proto::MeshReport report;
+    report.set_node(session.Self().node());
+    report.set_incarnation(kIncarnation);
+    return report;
+  }
+
+  TimerQueue m_timers;
+  std::unique_ptr<MeshWire> m_wire;
+  MeshLog m_log;
+  MetricsRegistry m_metrics;
+  std::int64_t m_revision = 0;
+
+ public:
+  MeshPeers peers;
+  MeshStore store;
+  MeshSession session;
+  MeshCoordinatorDuty coordinator;
+  MeshIngress ingress;
+  ReportExchange reports;
+};
+
+TEST_CASE("a store call through another node tells no more than that node knows") {
+  asio::io_context context;
+  FakeStore store(context);
+  Node near(context, "near", store.Port());
+  Node far(context, "far", store.Port());
+  std::optional<HttpResult> result;
+  HttpMessage call;
+  call.method = "POST";
+  call.target = "/api/kv-txn?x=1";
+  call.body = R"({"writes":[]})";
+  const auto relay = [&](Duration timeout) {
+    RelayStoreCall(near.peers, far.Address(), call, timeout, [&](HttpResult got) { result = std::move(got); });
+    REQUIRE(RunUntil(context, [&] { return result.has_value(); }));
+  };
+
+  SECTION("the call and its answer arrive whole") {
+    relay(std::chrono::seconds(1));
+    CHECK(result->outcome == HttpOutcome::kAnswered);
+    CHECK(result->answer.status == 200);
+    CHECK(result->answer.body == store.body);
+    REQUIRE(store.calls.size() == 1);
+    CHECK(store.calls[0].method == "POST");
+    CHECK(store.calls[0].target == "/api/kv-txn?x=1");
+    CHECK(store.calls[0].body == call.body);
+  }
+  SECTION("a refusal of the store stays one") {
+    store.status = 412;
+    relay(std::chrono::seconds(1));
+    CHECK(result->outcome == HttpOutcome::kAnswered);
+    CHECK(result->answer.status == 412);
+  }
+  // Guards against a conditional write that is repeated although it may have taken effect.
+  SECTION("a call that the store read and did not answer may have taken effect") {
+    store.status = 0;
+    relay(std::chrono::milliseconds(300));
+    CHECK(result->outcome == HttpOutcome::kBroken);
+    CHECK(store.calls.size() == 1);
+  }
+  SECTION("a node that reaches no store had no effect") {
+    Node lost(context, "lost", FreePort(context));
+    RelayStoreCall(near.peers, lost.Address(), call, std::chrono::seconds(1),
+                   [&](HttpResult got) { result = std::move(got); });
+    REQUIRE(RunUntil(context, [&] { return result.has_value(); }));
+    CHECK(result->outcome == HttpOutcome::kNotConnected);
+  }
+  SECTION("a node that cannot be reached had no effect") {
+    RelayStoreCall(near.peers, {"127.0.0.1", FreePort(context)}, call, std::chrono::seconds(1),
+                   [&](HttpResult got) { result = std::move(got); });
+    REQUIRE(RunUntil(context, [&] { return result.has_value(); }));
+    CHECK(result->outcome == HttpOutcome::kNotConnected);
+  }
+}
+
+TEST_CASE("a node that the store refuses works through another one") {
+  asio::io_context context;
+  FakeStore refusing(context);
+  refusing.status = 503;
+  FakeStore serving(context);
+  Node refused(context, "refused", refusing.Port());
+  Node served(context, "served", serving.Port());
+  refused.other = &served;
+  std::optional<absl::StatusOr<StoreWrite>> written;
+  const auto write = [&] {
+    written.reset();
+    refused.store.Txn(StoreTxn(), [&](absl::StatusOr<StoreWrite> result) { written = std::move(result); });
+    REQUIRE(RunUntil(context, [&] { return written.has_value(); }));
+  };
+
+  SECTION("a write is made once, where it is taken") {
+    write();
+    CHECK(written->ok());
+    CHECK(refusing.calls.size() == 1);
+    CHECK(serving.calls.size() == 1);
+    CHECK_FALSE(refused.store.IsReachable());
+    CHECK(refused.store.Relayed() == 1);
+    write();
+    CHECK(written->ok());
+    CHECK(refusing.calls.size() == 1);
+    CHECK(serving.calls.size() == 2);
+  }
+  SECTION("an outcome that is unknown stays unknown, and the write is not repeated") {
+    serving.status = 0;
+    write();
+    CHECK(written->status().code() == absl::StatusCode::kUnknown);
+    CHECK(refusing.calls.size() == 1);
+    CHECK(serving.calls.size() == 1);
+  }
+  SECTION("a store that refuses both is unavailable, and others are left alone for a while") {
+    serving.status = 503;
+    write();
+    CHECK(written->status().code() == absl::StatusCode::kUnavailable);
+    CHECK(serving.calls.size() == 1);
+    write();
+    CHECK(written->status().code() == absl::StatusCode::kUnavailable);
+    CHECK(serving.calls.size() == 1);
+  }
+}
+
+TEST_CASE("reports and questions for the replica") {
+  asio::io_context context;
+  FakeStore store(context);
+  Node node(context, "n1", store.Port());
+  node.Learn("op/config", R"({"version":"00000001","services":[{"name":"ledger"}],"virtual_hosts":[]})");
+  node.LearnMember("n2", "ledger", 1);
+
+  proto::MeshReport report;
+  report.set_node("n2");
+  report.set_incarnation(kIncarnation);
+  report.mutable_target()->set_id("i-2");
+  report.mutable_target()->set_accepts(true);
+  proto::MeshReport question;
+  question.set_node("n2");
+  question.set_incarnation(kIncarnation);
+  question.set_revision(1);
+  const auto ask = [&](const proto::MeshReport& message) {
+    proto::MeshReply reply;
+    REQUIRE(reply.ParseFromString(node.reports.OnReport(message.SerializeAsString())));
+    return reply;
+  };
+
+  SECTION("a node without the role gives what it knows") {
+    const proto::MeshReply reply = ask(question);
+    CHECK_FALSE(reply.coordinator());
+    CHECK(reply.revision() == 2);
+    CHECK(reply.items_size() == 2);
+  }
+  SECTION("an unreadable report changes nothing") {
+    CHECK(node.reports.OnReport("\xff\xff").empty());
+  }
+}
+
+// Guards against control traffic that cannot be told from requests: its share of a node's bytes has a budget.
+TEST_CASE("bytes between nodes are counted by path") {
+  asio::io_context context;
+  FakeStore store(context);
+  Node near(context, "near", store.Port());
+  Node far(context, "far", store.Port());
+  bool done = false;
+  near.peers.Call(far.Address(), "/report", "", std::make_shared<const std::string>("12345"), std::chrono::seconds(1),
+                  [&](const MeshCallResult& result) {
+                    CHECK(result.outcome == MeshCallOutcome::kAnswered);
+                    done = true;
+                  });
+  REQUIRE(RunUntil(context, [&] { return done; }));
+  CHECK(near.peers.MessageBytes().at("/report").sent == 5);
+  CHECK(far.peers.MessageBytes().at("/report").received == 5);
+  CHECK(far.peers.MessageBytes().at("/report").sent == near.peers.MessageBytes().at("/report").received);
+  CHECK(near.peers.Bytes().sent > 5);
+  CHECK(far.peers.Bytes().received == near.peers.Bytes().sent);
+}
+
+}  // namespace
+}  // namespace magnoliaarch
