Answer questions for the replica at the coordinator too

A node that does not hear the operator asks any other node twice a second. When that is the coordinator, the question was taken for a report without a target: the hints called the asking node's target not ready until its next report, up to 0.4 s, and the node got no answer. Not ruled out: other effects of a report without a target on the key plan, where the target was left out of one plan.

--- a/src/mesh_reports.cc
+++ b/src/mesh_reports.cc
@@ -153,14 +153,15 @@
     return "";
   }
   const TimePoint now = BootClock::now();
-  m_coordinator.OnReport(now, report, &reply);
   reply.set_store_age_ms(ToMs(m_session.Age(now)));
-  // A node that lost touch asks for everything after its revision.
-  if (!reply.coordinator() && report.revision() > 0) {
+  if (report.revision() > 0) {
+    // A node that lost touch asks for everything after its revision. It says nothing of its target.
     reply.set_revision(m_session.View().Revision());
     for (proto::ViewItem& item : m_session.View().ItemsAfter(report.revision() - 1)) {
       *reply.add_items() = std::move(item);
     }
+  } else {
+    m_coordinator.OnReport(now, report, &reply);
   }
   return reply.SerializeAsString();
 }
--- a/tests/mesh_exchange_test.cc
+++ b/tests/mesh_exchange_test.cc
@@ -279,6 +279,22 @@
     CHECK(reply.revision() == 2);
     CHECK(reply.items_size() == 2);
   }
+  // Guards against a working target that is passed over: a node that cannot hear the operator asks any other, and the
+  // coordinator took the question for a report without a target.
+  SECTION("the coordinator answers a question and keeps the last report") {
+    node.BecomeCoordinator("n1");
+    const proto::MeshReply before = ask(report);
+    REQUIRE(before.coordinator());
+    REQUIRE(before.hints_size() == 1);
+    REQUIRE(before.hints(0).flags() != 0);
+    const proto::MeshReply reply = ask(question);
+    CHECK(reply.revision() == 3);
+    CHECK(reply.items_size() == 3);
+    report.set_node("n3");
+    const proto::MeshReply after = ask(report);
+    REQUIRE(after.hints_size() == 1);
+    CHECK(after.hints(0).flags() == before.hints(0).flags());
+  }
   SECTION("an unreadable report changes nothing") {
     CHECK(node.reports.OnReport("\xff\xff").empty());
   }
