Place keys so that requests wait equally long at all targets

Cause: a plan moved keys only from a target above 0.6 of its capacity, so slow targets kept as many keys as fast ones that were a fifth used. Each target now has an aim for its use, at which the expected wait, service time times use / (1 - use), is the same for all; keys move when two targets lie 0.25 apart from their aims. The coordinator smooths the reported service time over 2 s, since a target's machine slows down and recovers several times a second.

The new test fails on the code before (15 requests a second at the slow target).

--- a/src/mesh_coordinator.cc
+++ b/src/mesh_coordinator.cc
@@ -1,6 +1,7 @@
 #include "mesh_coordinator_p.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace magnoliaarch {
@@ -29,6 +30,8 @@
 constexpr Duration kPushRetry = std::chrono::milliseconds(200);
 // A new coordinator does not know what its predecessor handed out.
 constexpr double kPoolFill = 0.35;
+// Time constant of a target's service time as plans see it: its machine slows down and recovers several times a second.
+constexpr double kServiceDecayS = 2;
 constexpr double kMilli = 1000;
 constexpr std::uint32_t kHintAccepts = 1;
 constexpr std::uint32_t kHintCold = 2;
@@ -207,12 +210,24 @@
   });
 }
 
+void MeshCoordinatorDuty::KeepReport(TimePoint now, const proto::MeshReport& report) {
+  const proto::TargetReport& target = report.target();
+  const double service_s = std::max<std::uint32_t>(target.service_us(), 1000) / 1e6;
+  Known& known = m_reports[report.node()];
+  const bool same_life =
+      known.report.target().id() == target.id() && known.report.target().start_ms() == target.start_ms();
+  const double passed = std::chrono::duration<double>(now - known.at).count();
+  known.service_s += (service_s - known.service_s) * (same_life ? 1 - std::exp(-passed / kServiceDecayS) : 1);
+  known.at = now;
+  known.report = report;
+}
+
 void MeshCoordinatorDuty::OnReport(TimePoint now, const proto::MeshReport& report, proto::MeshReply* reply) {
   reply->set_coordinator(IsCoordinator());
   if (!IsCoordinator()) {
     return;
   }
-  m_reports[report.node()] = Known{report, now};
+  KeepReport(now, report);
   const auto config = m_session.View().Config();
   if (config == nullptr) {
     return;
@@ -280,7 +295,7 @@
     target.accepts = fresh && state.accepts() && !target.leaving;
     target.cold = state.cold();
     target.slots = std::max<std::uint32_t>(state.slots(), 1);
-    target.service_s = std::max<std::uint32_t>(state.service_us(), 1000) / 1e6;
+    target.service_s = known->second.service_s;
     target.offered = state.offered_milli() / kMilli;
     target.loads.assign(state.ranges().begin(), state.ranges().end());
     if (fresh && state.gone()) {
--- a/src/mesh_coordinator_p.h
+++ b/src/mesh_coordinator_p.h
@@ -46,6 +46,7 @@
   struct Known {
     proto::MeshReport report;
     TimePoint at;
+    double service_s = 0;  // of the target, smoothed
   };
   struct Peer {
     std::uint64_t incarnation = 0;
@@ -54,6 +55,7 @@
     TimePoint not_before;
   };
 
+  void KeepReport(TimePoint now, const proto::MeshReport& report);
   void TryElect(TimePoint now);
   void PlanService(const MeshService& service, TimePoint now);
   KeyPlanInput Gather(const std::string& service, const proto::KeyTable& table, TimePoint now);
--- a/src/mesh_keys.cc
+++ b/src/mesh_keys.cc
@@ -17,9 +17,12 @@
 constexpr double kForgetBelow = 0.02;
 // Pieces that a range's load is reported in.
 constexpr int kLoadPieces = 8;
-// A target this busy gives keys away; the gain must be worth the pause of the moved keys.
-constexpr double kBusyUtilization = 0.6;
+// Two targets whose use lies this far apart, each from what it should be, exchange keys: the gain must be worth the
+// pause of the moved keys.
 constexpr double kUtilizationGap = 0.25;
+// Bound and steps of the search for the common wait; beyond the bound all targets are full.
+constexpr double kMostWaitS = 60;
+constexpr int kWaitSteps = 40;
 // Beyond its capacity a target refuses; keys that move between two such targets help nobody.
 constexpr double kFullUtilization = 0.9;
 // Least time between two balancing plans for one source, so that the measured rates follow.
@@ -93,25 +96,25 @@
   return pieces;
 }
 
-// The target that is least used after it gets this rate.
-const KeyTarget* LeastUsed(const KeyPlanInput& input,
-                           const std::map<std::string, double>& projected,
-                           double rate,
-                           const std::string& except) {
-  const KeyTarget* best = nullptr;
-  double best_use = 0;
-  for (const auto& [node, target] : input.targets) {
-    if (!target.accepts || target.leaving || node == except) {
-      continue;
-    }
-    const auto known = projected.find(node);
-    const double use = ((known != projected.end() ? known->second : 0) + rate) / CapacityOf(target);
-    if (best == nullptr || use < best_use) {
-      best = &target;
-      best_use = use;
-    }
+// The use of a target at which a request waits this long on average, as in a queue with one server: service time times
+// use / (1 - use). At equal waits fast targets are used more than slow ones, and all about equally when all are busy.
+double UseAtWait(const KeyTarget& target, double wait_s) {
+  return wait_s / (wait_s + target.service_s);
+}
+
+// The wait at which these targets together bear the rate.
+double CommonWait(const std::vector<const KeyTarget*>& targets, double rate) {
+  double low = 0;
+  double high = kMostWaitS;
+  for (int step = 0; step < kWaitSteps; ++step) {
+    const double wait = (low + high) / 2;
+    double borne = 0;
+    for (const KeyTarget* target : targets) {
+      borne += CapacityOf(*target) * UseAtWait(*target, wait);
+    }
+    (borne < rate ? low : high) = wait;
   }
-  return best;
+  return high;
 }
 
 int RangesOf(const proto::KeyTable& table, const std::string& node) {
@@ -194,6 +197,7 @@
       m_projected[range.owner().node()] -= rate;
     }
   }
+  AimAtEqualWaits(input);
   ReplaceLost(input, &plan);
   MoveFromLeaving(input, &plan);
   Balance(input, &plan);
@@ -203,6 +207,45 @@
   return plan;
 }
 
+void KeyPlanner::AimAtEqualWaits(const KeyPlanInput& input) {
+  std::vector<const KeyTarget*> targets;
+  double rate = 0;
+  for (const auto& [node, target] : input.targets) {
+    rate += m_projected[node];
+    if (target.accepts && !target.leaving) {
+      targets.push_back(&target);
+    }
+  }
+  const double wait = CommonWait(targets, rate);
+  m_aims.clear();
+  for (const KeyTarget* target : targets) {
+    m_aims[target->life.node()] = UseAtWait(*target, wait);
+  }
+}
+
+double KeyPlanner::ExcessOf(const KeyTarget& target, double more) const {
+  const auto rate = m_projected.find(target.life.node());
+  const auto aim = m_aims.find(target.life.node());
+  const double use = ((rate != m_projected.end() ? rate->second : 0) + more) / CapacityOf(target);
+  return use - (aim != m_aims.end() ? aim->second : 0);
+}
+
+const KeyTarget* KeyPlanner::LeastUsed(const KeyPlanInput& input, double more, const std::string& except) const {
+  const KeyTarget* best = nullptr;
+  double least = 0;
+  for (const auto& [node, target] : input.targets) {
+    if (!target.accepts || target.leaving || node == except) {
+      continue;
+    }
+    const double excess = ExcessOf(target, more);
+    if (best == nullptr || excess < least) {
+      best = &target;
+      least = excess;
+    }
+  }
+  return best;
+}
+
 void KeyPlanner::Expect(const std::string& node, double rate, TimePoint now) {
   m_projected[node] += rate;
   m_expected.push_back(Expected{node, rate, now});
@@ -307,7 +350,7 @@
       pieces = EvenPieces(range, accepting, 0);
     }
     for (const Piece& piece : pieces) {
-      const KeyTarget* target = LeastUsed(input, m_projected, piece.rate, "");
+      const KeyTarget* target = LeastUsed(input, piece.rate, "");
       const double share = static_cast<double>(piece.last - piece.first + 1) / (kMaxKey + 1);
       Expect(target->life.node(), std::max(piece.rate, share * target->Capacity()), input.now);
       proto::KeyRange* moved = next.add_ranges();
@@ -340,7 +383,7 @@
       range.clear_successor();
       changed = true;
     }
-    if (!leaving || successor_fit || LeastUsed(input, m_projected, 0, range.owner().node()) == nullptr) {
+    if (!leaving || successor_fit || LeastUsed(input, 0, range.owner().node()) == nullptr) {
       *next.add_ranges() = std::move(range);
       continue;
     }
@@ -361,7 +404,7 @@
       group.rate += pieces[i].rate;
     }
     for (const Piece& piece : groups) {
-      const KeyTarget* target = LeastUsed(input, m_projected, piece.rate, range.owner().node());
+      const KeyTarget* target = LeastUsed(input, piece.rate, range.owner().node());
       Expect(target->life.node(), piece.rate, input.now);
       proto::KeyRange* last = next.ranges().empty() ? nullptr : next.mutable_ranges(next.ranges_size() - 1);
       if (last != nullptr && last->fence() == range.fence() && last->has_successor() &&
@@ -397,28 +440,30 @@
     const KeyTarget* busiest = nullptr;
     double most = 0;
     for (const auto& [node, target] : input.targets) {
-      const double use = m_projected[node] / CapacityOf(target);
+      const double excess = ExcessOf(target, 0);
       const auto moved = m_moved.find(node);
       const bool rests = moved != m_moved.end() && input.now - moved->second < kMoveInterval;
       if (target.accepts && !target.leaving && !rests && !moving.contains(node) && !finished.contains(node) &&
-          use > most) {
+          excess > most) {
         busiest = &target;
-        most = use;
+        most = excess;
       }
     }
-    if (busiest == nullptr || most < kBusyUtilization) {
+    if (busiest == nullptr) {
       break;
     }
     const std::string source = busiest->life.node();
-    const KeyTarget* idlest = LeastUsed(input, m_projected, 0, source);
+    const KeyTarget* idlest = LeastUsed(input, 0, source);
     if (idlest == nullptr) {
       break;
     }
-    const double least = m_projected[idlest->life.node()] / CapacityOf(*idlest);
-    if (most - least < kUtilizationGap || least > kFullUtilization) {
+    const double least = ExcessOf(*idlest, 0);
+    const double source_use = m_projected[source] / CapacityOf(*busiest);
+    const double destination_use = m_projected[idlest->life.node()] / CapacityOf(*idlest);
+    if (most - least < kUtilizationGap || destination_use > kFullUtilization) {
       break;
     }
-    // Rate whose move makes both equally used.
+    // Rate whose move leaves both equally far from their aims.
     const double source_capacity = CapacityOf(*busiest);
     const double destination_capacity = CapacityOf(*idlest);
     const double wanted = (most - least) / (1 / source_capacity + 1 / destination_capacity);
@@ -492,8 +537,9 @@
     }
     plan->table = std::move(next);
     plan->changed = true;
-    plan->reason = fmt::format("{} at {:.2f} gives {:.1f}/s of {}-{} to {} at {:.2f}", source, most, best.rate,
-                               best.first, best.last, idlest->life.node(), least);
+    plan->reason =
+        fmt::format("{} at {:.2f}, {:.2f} above its aim, gives {:.1f}/s of {}-{} to {} at {:.2f}", source, source_use,
+                    most, best.rate, best.first, best.last, idlest->life.node(), destination_use);
     m_projected[source] -= best.rate;
     Expect(idlest->life.node(), best.rate, input.now);
     sources.insert(source);
--- a/src/mesh_keys_p.h
+++ b/src/mesh_keys_p.h
@@ -74,6 +74,12 @@
   void MoveFromLeaving(const KeyPlanInput& input, KeyPlan* plan);
   void Balance(const KeyPlanInput& input, KeyPlan* plan);
   void Merge(const KeyPlanInput& input, KeyPlan* plan);
+  // Sets the use that each target should have, so that requests wait equally long at all.
+  void AimAtEqualWaits(const KeyPlanInput& input);
+  // By how much the use of a target with this much more exceeds its aim.
+  double ExcessOf(const KeyTarget& target, double more) const;
+  // The target furthest below its aim after it gets this rate.
+  const KeyTarget* LeastUsed(const KeyPlanInput& input, double more, const std::string& except) const;
   // Counts keys of this rate for the node that gets them, until its own reports do.
   void Expect(const std::string& node, double rate, TimePoint now);
 
@@ -84,6 +90,7 @@
   };
 
   std::map<std::string, double> m_projected;  // requests a second by node, with the moves planned now
+  std::map<std::string, double> m_aims;       // use by node
   std::vector<Expected> m_expected;           // of moves whose load the reports do not show yet
   std::map<std::string, TimePoint> m_moved;   // last balancing move from a node
   TimePoint m_merged;
--- a/tests/mesh_keys_test.cc
+++ b/tests/mesh_keys_test.cc
@@ -184,6 +184,69 @@
   }
 }
 
+TEST_CASE("keys go where requests wait least") {
+  KeyPlanner planner;
+  std::vector<KeyTarget> targets = {Target("fast"), Target("slow")};
+  targets[0].service_s = 0.08;
+  targets[1].service_s = 0.2;
+  proto::KeyTable table = Assigned(&planner, targets);
+  // Spreads the rate of each target over its keys and plans until nothing moves; returns the rate of each target.
+  const auto settle = [&](double rate) {
+    std::map<std::string, double> rates;
+    for (int second = 1; second < 20; ++second) {
+      for (KeyTarget& target : targets) {
+        target.offered = 0;
+        target.loads.clear();
+        for (const proto::KeyRange& range : table.ranges()) {
+          if (!SameLife(range.owner(), target.life)) {
+            continue;
+          }
+          const std::uint32_t keys = range.last() - range.first() + 1;
+          proto::RangeLoad load;
+          load.set_first(range.first());
+          load.set_rate_milli(static_cast<std::uint32_t>(rate * keys / (kMaxKey + 1) * 1000));
+          for (std::uint32_t i = 1; i < 8; ++i) {
+            load.add_splits(range.first() + keys * i / 8);
+          }
+          target.offered += load.rate_milli() / 1000.0;
+          target.loads.push_back(load);
+        }
+        rates[target.life.node()] = target.offered;
+      }
+      table = planner.Plan(Input(second * 10'000, targets), table).table;
+      CheckWhole(table);
+      for (proto::KeyRange& range : *table.mutable_ranges()) {
+        if (range.has_successor()) {
+          *range.mutable_owner() = range.successor();
+          range.clear_successor();
+          table.set_last_fence(table.last_fence() + 1);
+          range.set_fence(table.last_fence());
+        }
+      }
+    }
+    return rates;
+  };
+
+  // Guards against answers that are late only because a slow target has as many keys as a fast one that is half idle.
+  SECTION("a slow target has few while a fast one has room") {
+    const auto rates = settle(30);
+    CHECK(rates.at("slow") < 7);
+    CHECK(rates.at("slow") > 0);
+  }
+  // Guards against a fast target that refuses requests while a slow one has room.
+  SECTION("both are full together") {
+    const auto rates = settle(95);
+    CHECK(rates.at("fast") / targets[0].Capacity() < 1);
+    CHECK(rates.at("slow") / targets[1].Capacity() > 0.7);
+  }
+  SECTION("targets alike share alike") {
+    targets[1].service_s = 0.08;
+    const auto rates = settle(60);
+    CHECK(rates.at("slow") > 25);
+    CHECK(rates.at("slow") < 35);
+  }
+}
+
 TEST_CASE("random sequences of load, loss and leaves keep the table whole") {
   for (unsigned seed = 1; seed <= 40; ++seed) {
     std::mt19937 random(seed);
