Show a mesh node's status on the command line, and count store calls by kind

magnolia-ctl read only the store of magnolia-node; on the users' machines an operator had the raw status page. 'mesh status' reads the page of the first node that answers and names members, owners of keys, and what is not served and why. The page and the gauges give the store calls by kind.

--- a/src/ctl_commands_p.h
+++ b/src/ctl_commands_p.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <string_view>
 
+#include "absl/status/statusor.h"
 #include "magnoliaarch/store.h"
 
 namespace magnoliaarch {
@@ -81,6 +82,12 @@
 // Prints members, slices by owner, roles, domains, and why slices are unavailable.
 CtlResult CtlStatus(const CtlContext& context, bool json);
 
+// Reads the status page of a mesh node, address IP:PORT. Errors: kUnavailable.
+absl::StatusOr<std::string> FetchMeshStatus(const std::string& address, Duration timeout);
+
+// Prints a mesh node's status page: members, owners of keys, and what is not served and why.
+CtlResult CtlMeshStatus(const std::string& page);
+
 }  // namespace magnoliaarch
 
 #endif  // MAGNOLIAARCH_CTL_COMMANDS_P_H_
--- /dev/null
+++ b/src/ctl_mesh.cc
@@ -0,0 +1,194 @@
+#include "ctl_commands_p.h"
+
+#include <asio.hpp>
+#include <charconv>
+#include <iterator>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include "ctl_results_p.h"
+#include "http1_p.h"
+#include "text_p.h"
+
+namespace magnoliaarch {
+namespace {
+
+constexpr int kOk = 200;
+constexpr const char* kStatusPath = "/status";
+
+struct MeshProblem {
+  std::string service;
+  std::string keys;  // "-" for the whole service
+  std::string reason;
+};
+
+// Text of a status page. A page without the expected fields raises an exception of the JSON library.
+class MeshStatusPage {
+ public:
+  explicit MeshStatusPage(const nlohmann::json& page) : m_page(page) {
+    for (const auto& member : page.at("members")) {
+      m_services[member.at("node")] = member.at("service");
+      m_evacuated[member.at("node")] = member.value("evacuated", false);
+    }
+  }
+
+  std::string Text() {
+    const std::string coordinator = m_page.at("coordinator");
+    Line("node:          {}, {}, target {}", Field("node"), m_page.at("ready").get<bool>() ? "ready" : "not ready",
+         Field("target"));
+    Line("configuration: version {}, replica {} ms old at revision {}", Number("config"), Number("view_age_ms"),
+         Number("revision"));
+    Line("coordinator:   {}", coordinator.empty() ? "none" : coordinator);
+    std::string calls;
+    for (const auto& [kind, count] : m_page.at("store_calls").items()) {
+      AppendText(&calls, calls.empty() ? "" : ", ", kind, " ", count.get<std::uint64_t>());
+    }
+    Line("store:         {}, lease left {} ms, {} calls through other nodes; calls: {}",
+         m_page.at("store_reachable").get<bool>() ? "reachable" : "not reachable", Number("lease_left_ms"),
+         Number("store_relayed"), calls.empty() ? "none" : calls);
+    Members();
+    Keys();
+    Problems();
+    return std::move(m_out);
+  }
+
+ private:
+  template <typename... Values>
+  void Line(fmt::string_view format, const Values&... values) {
+    fmt::vformat_to(std::back_inserter(m_out), format, fmt::make_format_args(values...));
+    m_out += '\n';
+  }
+  std::string Field(const char* name) const { return m_page.at(name).get<std::string>(); }
+  std::int64_t Number(const char* name) const { return m_page.at(name).get<std::int64_t>(); }
+  nlohmann::json RangesOf(const std::string& service) const {
+    return m_page.contains("keys") ? m_page["keys"].value(service, nlohmann::json::array()) : nlohmann::json::array();
+  }
+
+  void Members() {
+    std::map<std::string, std::size_t> ranges;
+    for (const auto& service : m_page.at("services")) {
+      for (const auto& range : RangesOf(service.at("service"))) {
+        ++ranges[range.at("owner")];
+      }
+    }
+    Line("\n{:<28} {:<16} {:<20} {:>6}  {}", "MEMBER", "DOMAIN", "SERVICE", "RANGES", "STATE");
+    for (const auto& member : m_page.at("members")) {
+      const std::string node = member.at("node");
+      const std::string domain = member.at("domain");
+      const auto owned = ranges.find(node);
+      Line("{:<28} {:<16} {:<20} {:>6}  {}", node, domain, m_services.at(node),
+           owned != ranges.end() ? owned->second : 0, m_evacuated.at(node) ? "evacuated" : "in");
+    }
+  }
+
+  void Keys() {
+    Line("\n{:<20} {:>6} {:>6} {:>7}  {:<28} {}", "SERVICE", "FIRST", "LAST", "FENCE", "OWNER", "MOVES TO");
+    for (const auto& service : m_page.at("services")) {
+      for (const auto& range : RangesOf(service.at("service"))) {
+        const std::string successor = range.at("successor");
+        Line("{:<20} {:>6} {:>6} {:>7}  {:<28} {}", service.at("service").get<std::string>(),
+             range.at("first").get<std::uint32_t>(), range.at("last").get<std::uint32_t>(),
+             range.at("fence").get<std::uint64_t>(), range.at("owner").get<std::string>(),
+             successor.empty() ? "-" : successor);
+      }
+    }
+  }
+
+  // Why nobody can serve the service, empty if somebody may.
+  std::string WhyNobody(const std::string& service) const {
+    std::size_t members = 0;
+    std::size_t evacuated = 0;
+    for (const auto& [node, served] : m_services) {
+      members += served == service ? 1 : 0;
+      evacuated += served == service && m_evacuated.at(node) ? 1 : 0;
+    }
+    if (members == 0) {
+      return "no member serves it";
+    }
+    return evacuated == members ? fmt::format("the domains of its {} members are evacuated", members) : "";
+  }
+
+  void Problems() {
+    std::vector<MeshProblem> problems;
+    const std::string waits = Field("coordinator").empty() ? "no node coordinates" : "waits for the coordinator";
+    for (const auto& service : m_page.at("services")) {
+      const std::string name = service.at("service");
+      std::string reason = WhyNobody(name);
+      if (reason.empty() && service.at("keyed").get<bool>() && RangesOf(name).empty()) {
+        reason = fmt::format("its keys have no owners yet; {}", waits);
+      }
+      if (!reason.empty()) {
+        problems.push_back({name, "-", reason});
+        continue;
+      }
+      for (const auto& range : RangesOf(name)) {
+        const std::string owner = range.at("owner");
+        if (!m_services.contains(owner)) {
+          problems.push_back({name,
+                              Cat(range.at("first").get<std::uint32_t>(), "-", range.at("last").get<std::uint32_t>()),
+                              fmt::format("owner {} is not registered; {}", owner, waits)});
+        }
+      }
+    }
+    if (problems.empty()) {
+      Line("\nevery service has targets, and every key an owner that is registered");
+      return;
+    }
+    Line("\n{:<20} {:<14} {}", "NOT SERVED", "KEYS", "REASON");
+    for (const MeshProblem& problem : problems) {
+      Line("{:<20} {:<14} {}", problem.service, problem.keys, problem.reason);
+    }
+  }
+
+  const nlohmann::json& m_page;
+  std::map<std::string, std::string> m_services;  // by member
+  std::map<std::string, bool> m_evacuated;        // by member
+  std::string m_out;
+};
+
+}  // namespace
+
+absl::StatusOr<std::string> FetchMeshStatus(const std::string& address, Duration timeout) {
+  const std::size_t colon = address.rfind(':');
+  std::uint16_t port = 0;
+  std::from_chars(address.data() + colon + 1, address.data() + address.size(), port);
+  asio::io_context context;
+  HttpClientOptions options;
+  options.ip = address.substr(0, colon);
+  options.port = port;
+  HttpClient client(context, options);
+  HttpMessage request;
+  request.method = "GET";
+  request.target = kStatusPath;
+  request.headers.push_back(Header{"Host", address});
+  HttpResult result;
+  client.Send(std::move(request), timeout, nullptr, [&](HttpResult answer) {
+    result = std::move(answer);
+    client.CloseAll();
+  });
+  context.run();
+  if (result.outcome != HttpOutcome::kAnswered) {
+    return absl::UnavailableError(result.detail);
+  }
+  if (result.answer.status != kOk) {
+    return absl::UnavailableError(Cat("the node answered ", result.answer.status));
+  }
+  return std::move(result.answer.body);
+}
+
+CtlResult CtlMeshStatus(const std::string& page) {
+  try {
+    const nlohmann::json parsed = nlohmann::json::parse(page);
+    return {kCtlFine, MeshStatusPage(parsed).Text(), ""};
+  } catch (const nlohmann::json::exception& error) {
+    return {kCtlRefused, "", Cat("the status page cannot be read: ", std::string(error.what()), "\n")};
+  }
+}
+
+}  // namespace magnoliaarch
--- a/src/mesh_relay.cc
+++ b/src/mesh_relay.cc
@@ -57,7 +57,7 @@
   }
   // The asking node's time runs on while the store answers.
   const Duration timeout = std::chrono::milliseconds(head.timeout_ms()) * 3 / 4;
-  store.CallDirectly(std::move(call), timeout, [reply = std::move(reply)](HttpResult result) {
+  store.CallForPeer(std::move(call), timeout, [reply = std::move(reply)](HttpResult result) {
     proto::StoreRelayResult answer;
     answer.set_detail(result.detail);
     if (result.outcome == HttpOutcome::kAnswered) {
--- a/src/mesh_status.cc
+++ b/src/mesh_status.cc
@@ -50,7 +50,10 @@
   set("magnolia_mesh_view_age_seconds", "Time since the replica was last known to be complete.",
       Seconds(status.view_age));
   count("magnolia_mesh_config_version", "Version of the configuration in force.", status.config_version);
-  count("magnolia_mesh_store_calls", "Calls to the store.", status.store_calls);
+  for (const auto& [kind, calls] : status.store_calls) {
+    metrics->GetGauge("magnolia_mesh_store_calls", "Calls to the store by kind.", {{"kind", std::string(kind)}})
+        .Set(static_cast<double>(calls));
+  }
   count("magnolia_mesh_store_relayed", "Calls to the store through other nodes.", status.store_relayed);
   set("magnolia_mesh_store_reachable", "Whether the last call reached the store.", status.store_reachable ? 1 : 0);
   set("magnolia_mesh_lease_left_seconds", "Time for which the node may vouch for grants.", Seconds(status.lease_left));
@@ -80,16 +83,25 @@
   page["view_age_ms"] = Milliseconds(status.view_age);
   page["lease_left_ms"] = Milliseconds(status.lease_left);
   page["store_reachable"] = status.store_reachable;
-  page["store_calls"] = status.store_calls;
+  page["store_calls"] = nlohmann::json::object();
+  for (const auto& [kind, calls] : status.store_calls) {
+    page["store_calls"][std::string(kind)] = calls;
+  }
+  page["store_relayed"] = status.store_relayed;
   page["coordinator"] = view.Coordinator().has_value() ? view.Coordinator()->node() : "";
   page["target"] = status.target_state;
   page["members"] = nlohmann::json::array();
   for (const auto& [node, member] : view.Members()) {
-    page["members"].push_back({{"node", node}, {"domain", member.domain()}, {"service", member.service()}});
+    page["members"].push_back({{"node", node},
+                               {"domain", member.domain()},
+                               {"service", member.service()},
+                               {"evacuated", view.IsEvacuated(member.domain())}});
   }
   const auto config = view.Config();
+  page["services"] = nlohmann::json::array();
   if (config != nullptr) {
     for (const auto& [name, service] : config->services) {
+      page["services"].push_back({{"service", name}, {"keyed", service.sharded}});
       const TableState* table = view.Table(name);
       if (table != nullptr) {
         page["keys"][name] = DescribeTable(*table);
--- a/src/mesh_status_p.h
+++ b/src/mesh_status_p.h
@@ -24,7 +24,7 @@
   Duration view_age{};
   Duration lease_left{};  // for which the node may vouch for grants
   bool store_reachable = false;
-  std::uint64_t store_calls = 0;
+  std::map<std::string_view, std::uint64_t> store_calls;  // by kind
   std::uint64_t store_relayed = 0;
   std::string target_state;
   std::size_t requests_open = 0;
--- a/src/mesh_store.cc
+++ b/src/mesh_store.cc
@@ -78,8 +78,12 @@
   }
 }
 
-void MeshStore::CallDirectly(HttpMessage call, Duration timeout, HttpClient::Done done) {
-  ++m_calls;
+void MeshStore::CallForPeer(HttpMessage call, Duration timeout, HttpClient::Done done) {
+  CallDirectly("for_peer", std::move(call), timeout, std::move(done));
+}
+
+void MeshStore::CallDirectly(std::string_view kind, HttpMessage call, Duration timeout, HttpClient::Done done) {
+  ++m_calls[kind];
   m_client.Send(WithHost(std::move(call)), timeout, nullptr, [this, done = std::move(done)](HttpResult result) {
     if (IsUseful(result)) {
       NoteReachable(true, "");
@@ -104,18 +108,18 @@
   return asked;
 }
 
-void MeshStore::Call(HttpMessage call, Repeat repeat, HttpClient::Done done) {
+void MeshStore::Call(std::string_view kind, HttpMessage call, Repeat repeat, HttpClient::Done done) {
   const bool avoid = !m_reachable && BootClock::now() - m_failed_at < kAvoidAfterFailure;
-  if (avoid && TryRelay(call, [this, call, done](HttpResult result) {
+  if (avoid && TryRelay(call, [this, kind, call, done](HttpResult result) {
         if (IsUseful(result) || !IsWithoutEffect(result)) {
           done(std::move(result));
         } else {
-          CallDirectly(call, kCallTimeout, done);
+          CallDirectly(kind, call, kCallTimeout, done);
         }
       })) {
     return;
   }
-  CallDirectly(call, kCallTimeout, [this, call, repeat, done](HttpResult result) {
+  CallDirectly(kind, call, kCallTimeout, [this, call, repeat, done](HttpResult result) {
     const bool may_repeat = !IsUseful(result) && (IsWithoutEffect(result) || repeat == Repeat::kSafe);
     if (!may_repeat || !TryRelay(call, done)) {
       done(std::move(result));
@@ -132,7 +136,7 @@
                           std::shared_ptr<StoreRange> range,
                           std::function<void(absl::StatusOr<StoreRange>)> done) {
   HttpMessage call = m_wire.RangeCall(prefix, after);
-  Call(std::move(call), Repeat::kSafe, [this, prefix, range, done](const HttpResult& result) {
+  Call("range", std::move(call), Repeat::kSafe, [this, prefix, range, done](const HttpResult& result) {
     if (!IsUseful(result)) {
       done(FailureOf(result));
       return;
@@ -158,25 +162,25 @@
 }
 
 void MeshStore::Txn(const StoreTxn& txn, std::function<void(absl::StatusOr<StoreWrite>)> done) {
-  Call(m_wire.TxnCall(txn), Repeat::kOnlyIfNotSent, [this, done = std::move(done)](const HttpResult& result) {
+  Call("txn", m_wire.TxnCall(txn), Repeat::kOnlyIfNotSent, [this, done = std::move(done)](const HttpResult& result) {
     done(IsUseful(result) ? m_wire.ParseTxn(result.answer) : absl::StatusOr<StoreWrite>(FailureOf(result)));
   });
 }
 
 void MeshStore::GrantLease(Duration ttl, std::function<void(absl::StatusOr<std::int64_t>)> done) {
-  Call(m_wire.LeaseCall(ttl), Repeat::kSafe, [this, done = std::move(done)](const HttpResult& result) {
+  Call("lease", m_wire.LeaseCall(ttl), Repeat::kSafe, [this, done = std::move(done)](const HttpResult& result) {
     done(IsUseful(result) ? m_wire.ParseLease(result.answer) : absl::StatusOr<std::int64_t>(FailureOf(result)));
   });
 }
 
 void MeshStore::KeepLease(std::int64_t lease, std::function<void(absl::Status)> done) {
-  Call(m_wire.KeepCall(lease), Repeat::kSafe, [this, done = std::move(done)](const HttpResult& result) {
+  Call("renewal", m_wire.KeepCall(lease), Repeat::kSafe, [this, done = std::move(done)](const HttpResult& result) {
     done(IsUseful(result) ? m_wire.ParseKeep(result.answer) : FailureOf(result));
   });
 }
 
 void MeshStore::EndLease(std::int64_t lease, std::function<void(absl::Status)> done) {
-  Call(m_wire.EndLeaseCall(lease), Repeat::kSafe, [done = std::move(done)](const HttpResult& result) {
+  Call("lease_end", m_wire.EndLeaseCall(lease), Repeat::kSafe, [done = std::move(done)](const HttpResult& result) {
     done(IsUseful(result) ? absl::OkStatus() : FailureOf(result));
   });
 }
@@ -184,7 +188,7 @@
 std::uint64_t MeshStore::Watch(const std::string& prefix,
                                std::int64_t after_revision,
                                std::function<void(absl::StatusOr<StoreWatchBatch>)> done) {
-  ++m_calls;
+  ++m_calls["watch"];
   return m_client.Send(WithHost(m_wire.WatchCall(prefix, after_revision, kWatchWait)), kWatchTimeout, nullptr,
                        [this, done = std::move(done)](const HttpResult& result) {
                          if (!IsUseful(result)) {
--- a/src/mesh_store_p.h
+++ b/src/mesh_store_p.h
@@ -5,7 +5,9 @@
 
 #include <asio.hpp>
 #include <functional>
+#include <map>
 #include <string>
+#include <string_view>
 
 #include "http1_p.h"
 #include "mesh_log_p.h"
@@ -37,18 +39,20 @@
   void CancelWatch(std::uint64_t watch) { m_client.Cancel(watch); }
 
   // A call on behalf of another node.
-  void CallDirectly(HttpMessage call, Duration timeout, HttpClient::Done done);
+  void CallForPeer(HttpMessage call, Duration timeout, HttpClient::Done done);
 
   // Whether the last calls of this node reached the store.
   bool IsReachable() const { return m_reachable; }
-  std::uint64_t Calls() const { return m_calls; }
+  // Calls that this node made, by kind.
+  const std::map<std::string_view, std::uint64_t>& Calls() const { return m_calls; }
   std::uint64_t Relayed() const { return m_relayed; }
   const ByteCount& Bytes() const { return m_client.Bytes(); }
   void OnTick(TimePoint now) { m_client.CloseIdle(now); }
 
  private:
   enum class Repeat { kSafe, kOnlyIfNotSent };
-  void Call(HttpMessage call, Repeat repeat, HttpClient::Done done);
+  void Call(std::string_view kind, HttpMessage call, Repeat repeat, HttpClient::Done done);
+  void CallDirectly(std::string_view kind, HttpMessage call, Duration timeout, HttpClient::Done done);
   void ReadPages(std::string prefix,
                  std::string after,
                  std::shared_ptr<StoreRange> range,
@@ -67,7 +71,7 @@
   bool m_reachable = true;
   TimePoint m_failed_at;
   TimePoint m_no_relay_until;
-  std::uint64_t m_calls = 0;
+  std::map<std::string_view, std::uint64_t> m_calls;  // the kinds are literals
   std::uint64_t m_relayed = 0;
 };
 
--- a/tests/ctl_test.cc
+++ b/tests/ctl_test.cc
@@ -1,4 +1,5 @@
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
 
@@ -352,5 +353,50 @@
   CHECK(*ParseFlags(4, argv) == std::vector<std::string>{"get", "--not-a-flag"});
 }
 
+// Guards against an operator who looks for the reason of unserved keys in the wrong place.
+TEST_CASE("the status of a mesh node names what is not served and why") {
+  nlohmann::json page = nlohmann::json::parse(R"({"node":"n1","ready":true,"target":"ready","config":3,"revision":17,
+    "view_age_ms":120,"lease_left_ms":3900,"store_reachable":true,"store_calls":{"renewal":4,"watch":2},
+    "store_relayed":1,"coordinator":"n2","services":[{"service":"desk","keyed":true},{"service":"ledger","keyed":false}],
+    "members":[{"node":"n1","domain":"d1","service":"desk","evacuated":false},
+               {"node":"n2","domain":"d2","service":"ledger","evacuated":false}],
+    "keys":{"desk":[{"first":0,"last":99,"owner":"n1","fence":5,"successor":""},
+                    {"first":100,"last":65535,"owner":"n1","fence":6,"successor":"n3"}]}})");
+  const auto show = [&] {
+    const CtlResult result = CtlMeshStatus(page.dump());
+    REQUIRE(result.exit_code == kCtlFine);
+    return result.out;
+  };
+
+  SECTION("all is served") {
+    const std::string text = show();
+    CHECK_THAT(text, Catch::Contains("coordinator:   n2"));
+    CHECK_THAT(text, Catch::Contains("renewal 4, watch 2"));
+    CHECK_THAT(text, Catch::Contains("1 calls through other nodes"));
+    CHECK_THAT(text, Catch::Contains("every service has targets"));
+    CHECK_THAT(text, Catch::Contains("n3"));
+  }
+  SECTION("the owner of a range is not registered") {
+    page["keys"]["desk"][1]["owner"] = "n9";
+    CHECK_THAT(show(), Catch::Contains("100-65535      owner n9 is not registered; waits for the coordinator"));
+    page["coordinator"] = "";
+    CHECK_THAT(show(), Catch::Contains("no node coordinates"));
+  }
+  SECTION("a service has no members, or only evacuated ones") {
+    page["members"].erase(1);
+    CHECK_THAT(show(), Catch::Contains("no member serves it"));
+    page["members"][0]["evacuated"] = true;
+    CHECK_THAT(show(), Catch::Contains("the domains of its 1 members are evacuated"));
+  }
+  SECTION("keys that were never assigned") {
+    page.erase("keys");
+    CHECK_THAT(show(), Catch::Contains("its keys have no owners yet"));
+  }
+  SECTION("another page is refused") {
+    CHECK(CtlMeshStatus("{}").exit_code == kCtlRefused);
+    CHECK(CtlMeshStatus("no page").exit_code == kCtlRefused);
+  }
+}
+
 }  // namespace
 }  // namespace magnoliaarch
--- a/tests/mesh_process_tests.py
+++ b/tests/mesh_process_tests.py
@@ -495,6 +495,24 @@
         check(len(mesh.runs()) - before == len(statuses), "each ran once")
 
 
+def case_the_command_line_shows_a_nodes_status():
+    """Guards against a status page that the command line cannot read, and against one dead node hiding the others."""
+    with Mesh() as mesh:
+        addresses = [f"127.0.0.1:{PORTS.pick()}", f"127.0.0.1:{mesh.nodes[1].ports['metrics']}"]
+        shown = subprocess.run([str(BUILD / "magnolia-ctl"), "--node", ",".join(addresses), "mesh", "status"],
+                               capture_output=True, text=True, timeout=20)
+        check(shown.returncode == 0, f"exit code {shown.returncode}: {shown.stderr}")
+        check(mesh.nodes[1].name in shown.stdout.splitlines()[0], f"the node that answered: {shown.stdout}")
+        check("every service has targets" in shown.stdout, f"all is served: {shown.stdout}")
+        check("renewal" in shown.stdout, f"calls by kind: {shown.stdout}")
+        none = subprocess.run([str(BUILD / "magnolia-ctl"), "--node", addresses[0], "mesh", "status"],
+                              capture_output=True, text=True, timeout=20)
+        check(none.returncode == 3 and addresses[0] in none.stderr, f"no node answers: {none.returncode} {none.stderr}")
+        bad = subprocess.run([str(BUILD / "magnolia-ctl"), "--node", "here", "mesh", "status"],
+                             capture_output=True, text=True, timeout=20)
+        check(bad.returncode == 2, f"bad address: {bad.returncode}")
+
+
 def case_a_draining_target_gives_its_keys_away():
     """Guards against requests that reach a target after its leave was acknowledged (DRAIN)."""
     with Mesh() as mesh:
--- a/tools/magnolia_ctl.cc
+++ b/tools/magnolia_ctl.cc
@@ -2,6 +2,7 @@
 
 #include <gflags/gflags.h>
 
+#include <algorithm>
 #include <chrono>
 #include <cstdlib>
 #include <functional>
@@ -12,6 +13,7 @@
 #include <thread>
 #include <vector>
 
+#include "absl/strings/str_split.h"
 #include "ctl_commands_p.h"
 #include "flags_p.h"
 #include "magnoliaarch/settings.h"
@@ -22,6 +24,7 @@
 DECLARE_bool(help);
 DECLARE_bool(version);
 DEFINE_string(store, "127.0.0.1:2379", "address of the store, IP:PORT");
+DEFINE_string(node, "", "metrics address of a mesh node, IP:PORT; several are tried in order, separated by commas");
 DEFINE_string(author, "", "who makes the change; default: the environment variable USER");
 DEFINE_bool(json, false, "status as JSON");
 DEFINE_uint32(timeout_ms, 5000, "time limit of one store call");
@@ -46,13 +49,15 @@
   host lost NODE                   declare that a host will never run again; if it still runs, its keys may get two
                                    owners
   status                           members, slices by owner, roles, domains, unavailable slices and why
+  mesh status                      a mesh node's view: members, owners of keys, what is not served and why; needs --node
   audit                            list audit records, newest first
 
 flags:
   --store IP:PORT     address of the store (default 127.0.0.1:2379)
+  --node IP:PORT,...  mesh status: metrics addresses of mesh nodes; the first that answers is shown
   --author NAME       who makes the change (default: the environment variable USER)
   --at_version N      apply: refuse if the stored catalogue has another version
-  --json              status: print JSON
+  --json              status, mesh status: print JSON
   --days N            history, audit: days to look back (default 7)
   --limit N           history, audit: lines to print (default 100)
   --timeout_ms N      time limit of one store call (default 5000)
@@ -73,6 +78,22 @@
   return run(*text);
 }
 
+CtlResult MeshStatus() {
+  const std::vector<std::string> nodes = absl::StrSplit(FLAGS_node, ',');
+  if (FLAGS_node.empty() || !std::all_of(nodes.begin(), nodes.end(), IsSocketAddress)) {
+    return BadUsage(Cat("--node is '", FLAGS_node, "', expected IP:PORT, or several separated by commas"));
+  }
+  std::string failures;
+  for (const std::string& node : nodes) {
+    const absl::StatusOr<std::string> page = FetchMeshStatus(node, std::chrono::milliseconds(FLAGS_timeout_ms));
+    if (page.ok()) {
+      return FLAGS_json ? CtlResult{kCtlFine, *page, failures} : CtlMeshStatus(*page);
+    }
+    AppendText(&failures, node, ": ", std::string(page.status().message()), "\n");
+  }
+  return {kCtlNoStore, "", failures};
+}
+
 CtlResult RunCommand(const std::vector<std::string>& arguments) {
   if (arguments.empty()) {
     return BadUsage("a command is missing");
@@ -80,6 +101,9 @@
   if (arguments[0] == "check" && arguments.size() == 2) {
     return WithFile(arguments[1], [&](const std::string& text) { return CtlCheck(text, arguments[1]); });
   }
+  if (arguments.size() == 2 && arguments[0] == "mesh" && arguments[1] == "status") {
+    return MeshStatus();
+  }
   if (!IsSocketAddress(FLAGS_store)) {
     return BadUsage(Cat("--store is '", FLAGS_store, "', expected IP:PORT"));
   }
