--- a/src/mesh_limits.cc
+++ b/src/mesh_limits.cc
@@ -9,8 +9,8 @@
 
 // Time for which a node keeps tokens in hand, of its average demand.
 constexpr double kHoldS = 1.0;
-// A node without demand keeps this many for the next request, as long as all nodes together keep no more than this share
-// of the burst. On many nodes they would hold all of it, and those with requests would find none.
+// A node without demand keeps this many for the next request, as long as all nodes together keep no more than this
+// share of the burst. On many nodes they would hold all of it, and those with requests would find none.
 constexpr double kLeastHold = 2;
 constexpr double kReserveShare = 0.35;
 // Time constant of the demand average.
@@ -125,7 +125,8 @@
     }
     Update(now, hold);
     const double reserve = std::min(kLeastHold, std::floor(hold.burst * kReserveShare / parts));
-    const double lacking = std::max(reserve, std::floor(hold.demand * kHoldS)) + std::exchange(hold.unmet, 0) - hold.tokens;
+    const double lacking =
+        std::max(reserve, std::floor(hold.demand * kHoldS)) + std::exchange(hold.unmet, 0) - hold.tokens;
     if (lacking >= 1) {
       wanted.emplace_back(i, std::ceil(lacking));
     }
