Push key tables to other nodes as differences

A push now holds the changed part of a table when the coordinator knows which version the receiver took; a receiver that has another version says so and gets the whole. Lives are packed in an order of their own, so that a move does not renumber them.

Ruled out: patches of bytes, since a table's last field changes every time and positions of lives shifted.

--- a/src/mesh_coordinator.cc
+++ b/src/mesh_coordinator.cc
@@ -73,6 +73,7 @@
     if (holds) {
       m_since = now;
       m_peers.clear();
+      m_sent_tables.Clear();
       m_reports.clear();
       m_planners.clear();
       m_pool = TokenPool(kPoolFill);
@@ -171,7 +172,8 @@
   }
   Peer& peer = m_peers[member.node()];
   if (peer.incarnation != member.incarnation()) {
-    peer = Peer{member.incarnation(), 0, false, TimePoint()};
+    peer = Peer{};
+    peer.incarnation = member.incarnation();
   }
   const std::uint64_t sequence = m_session.View().Sequence();
   if (peer.pushing || peer.acknowledged >= sequence || now < peer.not_before) {
@@ -182,32 +184,56 @@
   push.set_revision(m_session.View().Revision());
   push.set_store_age_ms(
       static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(m_session.Age(now)).count()));
+  std::map<std::string, std::int64_t> tables;
   for (proto::ViewItem& item : m_session.View().ItemsSince(peer.acknowledged)) {
-    if (item.key().starts_with(kMeshPrefix)) {
-      *push.add_items() = std::move(item);
+    if (!item.key().starts_with(kMeshPrefix)) {
+      continue;
+    }
+    if (item.key().starts_with(kTablePrefix) && !item.deleted()) {
+      tables[item.key()] = item.revision();
+      const auto has = peer.tables.find(item.key());
+      m_sent_tables.Shorten(has != peer.tables.end() ? has->second : 0, &item);
     }
+    *push.add_items() = std::move(item);
   }
   if (push.items().empty()) {
     peer.acknowledged = sequence;
     return;
   }
   peer.pushing = true;
-  m_hooks.push(member, push, [this, node = member.node(), incarnation = member.incarnation(), sequence](bool arrived) {
-    Peer& pushed = m_peers[node];
-    if (pushed.incarnation != incarnation) {
-      return;
-    }
-    pushed.pushing = false;
-    if (arrived) {
-      pushed.acknowledged = std::max(pushed.acknowledged, sequence);
-      const proto::MeshMember* again = m_session.View().FindMember(node);
-      if (again != nullptr && IsCoordinator()) {
-        PushTo(*again, BootClock::now());
-      }
-    } else {
-      pushed.not_before = BootClock::now() + kPushRetry;
-    }
-  });
+  m_hooks.push(member, push,
+               [this, node = member.node(), incarnation = member.incarnation(), sequence, tables](PushOutcome outcome) {
+                 Peer& pushed = m_peers[node];
+                 if (pushed.incarnation != incarnation) {
+                   return;
+                 }
+                 pushed.pushing = false;
+                 switch (outcome) {
+                   case PushOutcome::kTaken:
+                     pushed.acknowledged = std::max(pushed.acknowledged, sequence);
+                     for (const auto& [key, revision] : tables) {
+                       pushed.tables[key] = revision;
+                     }
+                     break;
+                   case PushOutcome::kNeedsWhole:
+                     if (pushed.tables.empty()) {
+                       // It was whole already.
+                       pushed.not_before = BootClock::now() + kPushRetry;
+                       return;
+                     }
+                     pushed.tables.clear();
+                     break;
+                   case PushOutcome::kLost:
+                     // Whether the node took it is unknown.
+                     pushed.tables.clear();
+                     pushed.not_before = BootClock::now() + kPushRetry;
+                     return;
+                 }
+                 const proto::MeshMember* again = m_session.View().FindMember(node);
+                 if (again != nullptr && IsCoordinator()) {
+                   PushTo(*again, BootClock::now());
+                 }
+               });
 }
 
 void MeshCoordinatorDuty::KeepReport(TimePoint now, const proto::MeshReport& report) {
--- a/src/mesh_coordinator_p.h
+++ b/src/mesh_coordinator_p.h
@@ -15,12 +15,20 @@
 #include "mesh_limits_p.h"
 #include "mesh_log_p.h"
 #include "mesh_session_p.h"
+#include "mesh_table_patch_p.h"
 
 namespace magnoliaarch {
 
+enum class PushOutcome {
+  kTaken,
+  kNeedsWhole,  // a patch does not fit what the node has
+  kLost,
+};
+
 struct MeshCoordinatorHooks {
-  // Pushes to a node; `done` tells whether it arrived.
-  std::function<void(const proto::MeshMember& to, const proto::MeshPush& push, std::function<void(bool)> done)> push;
+  // Pushes to a node; `done` tells what became of it.
+  std::function<void(const proto::MeshMember& to, const proto::MeshPush& push, std::function<void(PushOutcome)> done)>
+      push;
 };
 
 class MeshCoordinatorDuty {
@@ -53,6 +61,7 @@
     std::uint64_t acknowledged = 0;  // sequence of the replica that the peer has
     bool pushing = false;
     TimePoint not_before;
+    std::map<std::string, std::int64_t> tables;  // revisions of the key tables that the peer took, by key
   };
 
   void KeepReport(TimePoint now, const proto::MeshReport& report);
@@ -68,6 +77,7 @@
   MeshCoordinatorHooks m_hooks;
   std::map<std::string, Known> m_reports;
   std::map<std::string, Peer> m_peers;
+  SentTables m_sent_tables;
   std::map<std::string, KeyPlanner> m_planners;
   std::set<std::string> m_planning;  // services with a write on its way
   std::map<std::string, TimePoint> m_absent_since;
--- a/src/mesh_keys.cc
+++ b/src/mesh_keys.cc
@@ -2,6 +2,9 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
+#include <map>
+#include <tuple>
 #include <utility>
 
 #include <fmt/format.h>
@@ -552,14 +555,22 @@
 std::string PackTable(const proto::KeyTable& table) {
   proto::PackedTable packed;
   packed.set_last_fence(table.last_fence());
-  const auto position = [&packed](const proto::TargetLife& life) {
-    for (int i = 0; i < packed.lives_size(); ++i) {
-      if (SameLife(packed.lives(i), life)) {
-        return static_cast<std::uint32_t>(i);
-      }
+  // In an order of their own, so that a move leaves the positions as they are.
+  std::map<std::tuple<std::string, std::string, std::int64_t>, const proto::TargetLife*> lives;
+  const auto key_of = [](const proto::TargetLife& life) {
+    return std::make_tuple(life.node(), life.id(), static_cast<std::int64_t>(life.start_ms()));
+  };
+  for (const proto::KeyRange& range : table.ranges()) {
+    lives.emplace(key_of(range.owner()), &range.owner());
+    if (range.has_successor()) {
+      lives.emplace(key_of(range.successor()), &range.successor());
     }
-    *packed.add_lives() = life;
-    return static_cast<std::uint32_t>(packed.lives_size() - 1);
+  }
+  for (const auto& [key, life] : lives) {
+    *packed.add_lives() = *life;
+  }
+  const auto position = [&](const proto::TargetLife& life) {
+    return static_cast<std::uint32_t>(std::distance(lives.begin(), lives.find(key_of(life))));
   };
   for (const proto::KeyRange& range : table.ranges()) {
     proto::PackedRange* stored = packed.add_ranges();
--- a/src/mesh_node.cc
+++ b/src/mesh_node.cc
@@ -170,9 +170,8 @@
 
   MeshCoordinatorHooks CoordinatorHooks() {
     MeshCoordinatorHooks hooks;
-    hooks.push = [this](const proto::MeshMember& to, const proto::MeshPush& push, std::function<void(bool)> done) {
-      m_reports.Push(to, push, std::move(done));
-    };
+    hooks.push = [this](const proto::MeshMember& to, const proto::MeshPush& push,
+                        std::function<void(PushOutcome)> done) { m_reports.Push(to, push, std::move(done)); };
     return hooks;
   }
 
@@ -323,8 +322,7 @@
       }
       reply(answer.SerializeAsString(), "");
     } else if (message.path == kPushPath) {
-      m_reports.OnPush(message.head);
-      reply("", "");
+      reply(m_reports.OnPush(message.head), "");
     } else if (message.path == kRelayPath) {
       ServeRelayedCall(m_store, message, std::move(reply));
     } else {
--- a/src/mesh_reports.cc
+++ b/src/mesh_reports.cc
@@ -166,19 +166,30 @@
   return reply.SerializeAsString();
 }
 
-void ReportExchange::OnPush(const std::string& message) {
+std::string ReportExchange::OnPush(const std::string& message) {
   proto::MeshPush push;
+  proto::MeshPushReply reply;
   if (!push.ParseFromString(message)) {
     m_log.Write(LogRank::kFailure, "peer_message_unreadable", {{"path", kPushPath}});
-    return;
+    reply.set_needs_whole(true);
+  } else if (!m_session.Merge(push.items(), push.revision(), std::chrono::milliseconds(push.store_age_ms()))) {
+    reply.set_needs_whole(true);
   }
-  m_session.Merge(push.items(), push.revision(), std::chrono::milliseconds(push.store_age_ms()));
+  return reply.SerializeAsString();
 }
 
-void ReportExchange::Push(const proto::MeshMember& to, const proto::MeshPush& push, std::function<void(bool)> done) {
-  m_peers.Call(
-      AddressOf(to), kPushPath, push.SerializeAsString(), m_no_body, kPushTimeout,
-      [done = std::move(done)](const MeshCallResult& result) { done(result.outcome == MeshCallOutcome::kAnswered); });
+void ReportExchange::Push(const proto::MeshMember& to,
+                          const proto::MeshPush& push,
+                          std::function<void(PushOutcome)> done) {
+  m_peers.Call(AddressOf(to), kPushPath, push.SerializeAsString(), m_no_body, kPushTimeout,
+               [done = std::move(done)](const MeshCallResult& result) {
+                 proto::MeshPushReply reply;
+                 if (result.outcome != MeshCallOutcome::kAnswered || !reply.ParseFromString(result.answer.head)) {
+                   done(PushOutcome::kLost);
+                 } else {
+                   done(reply.needs_whole() ? PushOutcome::kNeedsWhole : PushOutcome::kTaken);
+                 }
+               });
 }
 
 const proto::MeshMember* ReportExchange::RandomMember() {
--- a/src/mesh_reports_p.h
+++ b/src/mesh_reports_p.h
@@ -39,11 +39,11 @@
   void ReportSoon();
   void ReportNow(TimePoint now);
 
-  // Messages of other nodes; unreadable ones are logged. The answer to a report is returned serialized.
+  // Messages of other nodes; unreadable ones are logged. The answers are returned serialized.
   std::string OnReport(const std::string& message);
-  void OnPush(const std::string& message);
-  // Sends the coordinator's replica to a node; `done` tells whether it arrived.
-  void Push(const proto::MeshMember& to, const proto::MeshPush& push, std::function<void(bool)> done);
+  std::string OnPush(const std::string& message);
+  // Sends the coordinator's replica to a node.
+  void Push(const proto::MeshMember& to, const proto::MeshPush& push, std::function<void(PushOutcome)> done);
 
   bool HasCoordinator(TimePoint now) const;
   // Any other node that may be reachable, null if there is none.
--- a/src/mesh_session.cc
+++ b/src/mesh_session.cc
@@ -1,7 +1,11 @@
 #include "mesh_session_p.h"
 
 #include <algorithm>
+#include <optional>
 #include <utility>
+#include <vector>
+
+#include "mesh_table_patch_p.h"
 
 namespace magnoliaarch {
 namespace {
@@ -303,11 +307,31 @@
   }
 }
 
-void MeshSession::Merge(const google::protobuf::RepeatedPtrField<proto::ViewItem>& items,
+bool MeshSession::Merge(const google::protobuf::RepeatedPtrField<proto::ViewItem>& items,
                         std::int64_t revision,
                         Duration age) {
-  bool changed = false;
+  std::vector<proto::ViewItem> whole;
   for (const proto::ViewItem& item : items) {
+    const proto::ViewItem* known = m_view.FindItem(item.key());
+    const bool news = known == nullptr || known->revision() < item.revision();
+    if (!item.has_patch() || !news) {
+      // What is not newer is left out by the view, whatever it holds.
+      whole.push_back(item);
+      continue;
+    }
+    if (known == nullptr || known->deleted() || known->revision() != item.patch().base_revision()) {
+      return false;
+    }
+    std::optional<std::string> value = ApplyTablePatch(known->value(), item.patch());
+    if (!value) {
+      return false;
+    }
+    whole.push_back(item);
+    whole.back().clear_patch();
+    whole.back().set_value(*std::move(value));
+  }
+  bool changed = false;
+  for (const proto::ViewItem& item : whole) {
     changed = m_view.Apply(item) || changed;
   }
   m_view.Advance(revision);
@@ -319,6 +343,7 @@
   if (changed) {
     m_hooks.on_view();
   }
+  return true;
 }
 
 void MeshSession::Write(StoreTxn txn, std::function<void(absl::StatusOr<StoreWrite>)> done) {
--- a/src/mesh_session_p.h
+++ b/src/mesh_session_p.h
@@ -50,8 +50,9 @@
   Duration Age(TimePoint now) const { return now - m_synced_at; }
   // The replica is kept by the coordinator; there is no need to watch the store.
   void OnSyncedByCoordinator(TimePoint now, Duration coordinator_age);
-  // Changes from another node, complete up to the revision if that is not 0.
-  void Merge(const google::protobuf::RepeatedPtrField<proto::ViewItem>& items, std::int64_t revision, Duration age);
+  // Changes from another node, complete up to the revision if that is not 0. False, with nothing taken, when a patch
+  // does not fit what this replica has.
+  bool Merge(const google::protobuf::RepeatedPtrField<proto::ViewItem>& items, std::int64_t revision, Duration age);
   // Makes this node watch the store even while a coordinator keeps its replica.
   void SetMustWatch(bool must_watch) { m_must_watch = must_watch; }
   // Whether changes of the operator reach this node from the store.
--- a/src/mesh_view.cc
+++ b/src/mesh_view.cc
@@ -9,7 +9,6 @@
 namespace {
 
 constexpr std::string_view kMemberPrefix = "magnolia/member/";
-constexpr std::string_view kTablePrefix = "magnolia/keys/";
 constexpr std::string_view kCoordinator = "magnolia/coordinator";
 
 }  // namespace
@@ -147,6 +146,11 @@
   }
 }
 
+const proto::ViewItem* MeshView::FindItem(const std::string& key) const {
+  const auto it = m_items.find(key);
+  return it == m_items.end() ? nullptr : &it->second;
+}
+
 std::vector<proto::ViewItem> MeshView::ItemsAfter(std::int64_t revision) const {
   std::vector<proto::ViewItem> items;
   for (const auto& [key, item] : m_items) {
--- a/src/mesh_view_p.h
+++ b/src/mesh_view_p.h
@@ -19,6 +19,8 @@
 namespace magnoliaarch {
 
 inline constexpr std::string_view kMeshPrefix = "magnolia/";
+// Key tables, by service.
+inline constexpr std::string_view kTablePrefix = "magnolia/keys/";
 std::string MemberKey(std::string_view node);
 std::string CoordinatorKey();
 std::string TableKey(std::string_view service);
@@ -52,6 +54,8 @@
   std::int64_t Revision() const { return m_revision; }
   void Advance(std::int64_t revision);
 
+  // What this replica has of a key, deleted or not; null if it never saw it.
+  const proto::ViewItem* FindItem(const std::string& key) const;
   // Items changed after the revision.
   std::vector<proto::ViewItem> ItemsAfter(std::int64_t revision) const;
 
--- a/tests/mesh_exchange_test.cc
+++ b/tests/mesh_exchange_test.cc
@@ -1,12 +1,17 @@
+#include <random>
+
 #include <catch2/catch.hpp>
 
 #include "kv_platform.h"
 #include "magnoliaarch/metrics.h"
 #include "mesh_coordinator_p.h"
 #include "mesh_ingress_p.h"
+#include "mesh_keys_p.h"
 #include "mesh_relay_p.h"
 #include "mesh_reports_p.h"
+#include "mesh_table_patch_p.h"
 #include "mesh_util.h"
+#include "text_p.h"
 
 namespace magnoliaarch {
 namespace {
@@ -67,7 +72,7 @@
                 return true;
               }),
         session(m_timers, store, *m_wire, m_log, Self(name), std::chrono::seconds(1), SessionHooks()),
-        coordinator(session, m_log, name, kIncarnation, {}),
+        coordinator(session, m_log, name, kIncarnation, CoordinatorHooks()),
         ingress(m_timers, *m_wire, m_log, m_metrics, IngressOptions(name), {}),
         reports(m_timers, peers, session, coordinator, ingress, m_log, [this] { return OwnReport(); }) {
     REQUIRE(peers.Start().ok());
@@ -99,7 +104,8 @@
   }
 
   const std::uint16_t port;
-  Node* other = nullptr;  // carries store calls
+  Node* other = nullptr;   // carries store calls
+  int refused_pushes = 0;  // of this node as the coordinator
 
  private:
   static proto::MeshMember Self(const std::string& name) {
@@ -119,11 +125,24 @@
     hooks.on_registered = [] {};
     return hooks;
   }
+  MeshCoordinatorHooks CoordinatorHooks() {
+    MeshCoordinatorHooks hooks;
+    hooks.push = [this](const proto::MeshMember& to, const proto::MeshPush& push,
+                        std::function<void(PushOutcome)> done) {
+      reports.Push(to, push, [this, done = std::move(done)](PushOutcome outcome) {
+        refused_pushes += outcome == PushOutcome::kNeedsWhole ? 1 : 0;
+        done(outcome);
+      });
+    };
+    return hooks;
+  }
   MeshPeers::Hooks PeerHooks() {
     MeshPeers::Hooks hooks;
     hooks.on_message = [this](std::uint64_t, H2Message message, const MeshPeers::Reply& reply) {
       if (message.path == kRelayPath) {
         ServeRelayedCall(store, message, reply);
+      } else if (message.path == kPushPath) {
+        reply(reports.OnPush(message.head), "");
       } else {
         reply(reports.OnReport(message.head), "");
       }
@@ -300,6 +319,127 @@
   }
 }
 
+proto::KeyTable ManyRanges(int count) {
+  proto::KeyTable table;
+  for (int i = 0; i < count; ++i) {
+    proto::KeyRange* range = table.add_ranges();
+    range->set_first(static_cast<std::uint32_t>(i * 100));
+    range->set_last(i + 1 < count ? static_cast<std::uint32_t>(i * 100 + 99) : kMaxKey);
+    range->mutable_owner()->set_node(Cat("n", i % 7));
+    range->mutable_owner()->set_id(Cat("i-000000", i % 7));
+    range->mutable_owner()->set_start_ms(1'700'000'000'000 + i % 7);
+    range->set_fence(static_cast<std::uint64_t>(i + 1));
+  }
+  table.set_last_fence(static_cast<std::uint64_t>(count));
+  return table;
+}
+
+// Guards against a node that takes a key to be owned by another target than the store says (OWNER), and against pushes
+// that grow with the whole table: 1.3 MB/s at the coordinator of 101 nodes.
+TEST_CASE("key tables reach other nodes as differences") {
+  asio::io_context context;
+  FakeStore store(context);
+  Node near(context, "near", store.Port());
+  Node far(context, "far", store.Port());
+  const std::string config = R"({"version":"00000001","services":[{"name":"desk","sharded":true}],"virtual_hosts":[]})";
+  near.Learn("op/config", config);
+  near.BecomeCoordinator("near");
+  near.LearnMember("far", "desk", far.port);
+  proto::KeyTable table = ManyRanges(60);
+  const auto change = [&](int index) {
+    table.mutable_ranges(index)->mutable_owner()->set_node("n6");
+    table.mutable_ranges(index)->mutable_owner()->set_id("i-0000006");
+    table.mutable_ranges(index)->mutable_owner()->set_start_ms(1'700'000'000'006);
+    table.set_last_fence(table.last_fence() + 1);
+    table.mutable_ranges(index)->set_fence(table.last_fence());
+    near.Learn("magnolia/keys/desk", PackTable(table));
+    near.coordinator.OnViewChanged();
+  };
+  const auto arrives = [&] {
+    return RunUntil(context, [&] {
+      const TableState* known = far.session.View().Table("desk");
+      return known != nullptr && known->table.SerializeAsString() == table.SerializeAsString();
+    });
+  };
+  change(0);
+  REQUIRE(arrives());
+  const std::uint64_t whole = near.peers.MessageBytes().at("/push").sent;
+
+  SECTION("a change costs little of a whole table") {
+    for (int i = 1; i < 11; ++i) {
+      change(i * 5);
+      REQUIRE(arrives());
+    }
+    CHECK(near.refused_pushes == 0);
+    CHECK((near.peers.MessageBytes().at("/push").sent - whole) / 10 < whole / 4);
+  }
+  SECTION("a node that has another version gets the whole table") {
+    proto::KeyTable other = table;
+    other.mutable_ranges(3)->set_handover("x");
+    for (int i = 0; i < 4; ++i) {
+      far.Learn("magnolia/other", Cat(i));
+    }
+    far.Learn("magnolia/keys/desk", PackTable(other));
+    REQUIRE(far.session.View().Table("desk")->table.ranges(3).handover() == "x");
+    near.Learn("magnolia/other", "");
+    change(7);
+    REQUIRE(arrives());
+    CHECK(near.refused_pushes == 1);
+  }
+  SECTION("a node that has a newer version keeps it") {
+    for (int i = 0; i < 9; ++i) {
+      far.Learn("magnolia/other", Cat(i));
+    }
+    proto::KeyTable newer = table;
+    newer.mutable_ranges(3)->set_handover("x");
+    far.Learn("magnolia/keys/desk", PackTable(newer));
+    change(7);
+    RunFor(context, std::chrono::milliseconds(100));
+    CHECK(far.session.View().Table("desk")->table.SerializeAsString() == newer.SerializeAsString());
+  }
+}
+
+TEST_CASE("a table's patch leads to the later table or to nothing") {
+  std::mt19937 random(11);
+  proto::KeyTable table = ManyRanges(40);
+  std::string packed = PackTable(table);
+  for (int step = 0; step < 500; ++step) {
+    const std::string earlier = packed;
+    const int changes = static_cast<int>(random() % 4);
+    for (int i = 0; i < changes; ++i) {
+      const int index = static_cast<int>(random() % static_cast<unsigned>(table.ranges_size()));
+      proto::KeyRange* range = table.mutable_ranges(index);
+      switch (random() % 4) {
+        case 0:
+          range->mutable_owner()->set_node(Cat("n", random() % 9));
+          break;
+        case 1:
+          *range->mutable_successor() = table.ranges(static_cast<int>(random() % 3)).owner();
+          break;
+        case 2:
+          range->clear_successor();
+          range->set_handover(Cat(random() % 1000));
+          break;
+        default:
+          if (index + 1 < table.ranges_size() && table.ranges_size() > 3) {
+            range->set_last(table.ranges(index + 1).last());
+            table.mutable_ranges()->DeleteSubrange(index + 1, 1);
+          }
+      }
+      table.set_last_fence(table.last_fence() + 1);
+    }
+    packed = PackTable(table);
+    const auto patch = MakeTablePatch(earlier, packed);
+    REQUIRE(patch.has_value());
+    REQUIRE(ApplyTablePatch(earlier, *patch) == packed);
+  }
+  proto::TablePatch wrong;
+  wrong.set_head(1000);
+  CHECK_FALSE(ApplyTablePatch(packed, wrong).has_value());
+  CHECK_FALSE(ApplyTablePatch("\xff", wrong).has_value());
+  CHECK_FALSE(MakeTablePatch(packed, "\xff").has_value());
+}
+
 // Guards against control traffic that cannot be told from requests: its share of a node's bytes has a budget.
 TEST_CASE("bytes between nodes are counted by path") {
   asio::io_context context;
