Make table patches of all changed ranges, wherever they lie

A plan moves up to six ranges anywhere, so the part between the first and the last change was most of the table. A patch now names changed ranges and those that are no more by their last keys.

--- a/src/mesh_table_patch.cc
+++ b/src/mesh_table_patch.cc
@@ -13,6 +13,15 @@
   return table->ParseFromArray(text.data(), static_cast<int>(text.size()));
 }
 
+// The ranges by the key that each ends with; the first key follows from the range before.
+std::map<std::uint32_t, const proto::PackedRange*> ByLastKey(const proto::PackedTable& table) {
+  std::map<std::uint32_t, const proto::PackedRange*> ranges;
+  for (const proto::PackedRange& range : table.ranges()) {
+    ranges.emplace(range.last(), &range);
+  }
+  return ranges;
+}
+
 bool Same(const google::protobuf::MessageLite& one, const google::protobuf::MessageLite& other) {
   return one.SerializeAsString() == other.SerializeAsString();
 }
@@ -29,21 +38,19 @@
   if (!Parse(earlier, &from) || !Parse(later, &to)) {
     return std::nullopt;
   }
-  const int most = std::min(from.ranges_size(), to.ranges_size());
-  int head = 0;
-  while (head < most && Same(from.ranges(head), to.ranges(head))) {
-    ++head;
-  }
-  int tail = 0;
-  while (tail < most - head &&
-         Same(from.ranges(from.ranges_size() - 1 - tail), to.ranges(to.ranges_size() - 1 - tail))) {
-    ++tail;
-  }
+  const auto known = ByLastKey(from);
   proto::TablePatch patch;
-  patch.set_head(static_cast<std::uint32_t>(head));
-  patch.set_tail(static_cast<std::uint32_t>(tail));
-  for (int i = head; i < to.ranges_size() - tail; ++i) {
-    *patch.add_ranges() = to.ranges(i);
+  for (const proto::PackedRange& range : to.ranges()) {
+    const auto same = known.find(range.last());
+    if (same == known.end() || !Same(*same->second, range)) {
+      *patch.add_ranges() = range;
+    }
+  }
+  const auto kept = ByLastKey(to);
+  for (const auto& [last, range] : known) {
+    if (!kept.contains(last)) {
+      patch.add_dropped(last);
+    }
   }
   if (!SameLives(from, to)) {
     *patch.mutable_lives() = to.lives();
@@ -54,16 +61,23 @@
 
 std::optional<std::string> ApplyTablePatch(std::string_view earlier, const proto::TablePatch& patch) {
   proto::PackedTable from;
-  if (!Parse(earlier, &from) ||
-      std::uint64_t{patch.head()} + patch.tail() > static_cast<std::uint64_t>(from.ranges_size())) {
+  if (!Parse(earlier, &from)) {
     return std::nullopt;
   }
+  auto ranges = ByLastKey(from);
+  for (const std::uint32_t last : patch.dropped()) {
+    if (ranges.erase(last) == 0) {
+      return std::nullopt;
+    }
+  }
+  for (const proto::PackedRange& range : patch.ranges()) {
+    ranges[range.last()] = &range;
+  }
   proto::PackedTable to;
   *to.mutable_lives() = patch.lives().empty() ? from.lives() : patch.lives();
-  const auto tail = from.ranges().end() - static_cast<std::ptrdiff_t>(patch.tail());
-  to.mutable_ranges()->Add(from.ranges().begin(), from.ranges().begin() + static_cast<std::ptrdiff_t>(patch.head()));
-  to.mutable_ranges()->Add(patch.ranges().begin(), patch.ranges().end());
-  to.mutable_ranges()->Add(tail, from.ranges().end());
+  for (const auto& [last, range] : ranges) {
+    *to.add_ranges() = *range;
+  }
   to.set_last_fence(patch.last_fence());
   return to.SerializeAsString();
 }
