--- a/src/mesh_choice.cc
+++ b/src/mesh_choice.cc
@@ -35,11 +35,10 @@
 }  // namespace
 
 TargetChooser::TargetChooser(std::string domain, double domain_preference, std::uint64_t seed)
-    : m_domain(std::move(domain)), m_domain_preference(domain_preference), m_random(seed | 1U) {}
+    : m_domain(std::move(domain)), m_domain_preference(domain_preference), m_random(seed) {}
 
 double TargetChooser::NextRandom() {
-  m_random = m_random * 6364136223846793005ULL + 1442695040888963407ULL;
-  return static_cast<double>(m_random >> 40U) / static_cast<double>(1U << 24U);
+  return std::uniform_real_distribution<>(0, 1)(m_random);
 }
 
 void TargetChooser::OnServed(const std::string& node, const std::string& route, Duration service, TimePoint now) {
--- a/src/mesh_choice_p.h
+++ b/src/mesh_choice_p.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <random>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -57,7 +58,7 @@
   std::map<std::string, TargetHint> m_hints;
   std::unordered_map<std::string, double> m_route_s;           // mean time of a route's requests at any target
   std::unordered_map<std::string, TimePoint> m_without_since;  // services for which none was found
-  std::uint64_t m_random;
+  std::minstd_rand m_random;
 };
 
 }  // namespace magnoliaarch
--- a/src/mesh_ingress.cc
+++ b/src/mesh_ingress.cc
@@ -50,7 +50,7 @@
       m_options(std::move(options)),
       m_hooks(std::move(hooks)),
       m_chooser(m_options.domain, m_options.domain_preference, m_options.seed),
-      m_random(m_options.seed | 1U) {}
+      m_random(m_options.seed) {}
 
 // ---- Admission ----
 
@@ -163,8 +163,7 @@
     }
     // Nodes start at different places, so that their first requests do not all go to one part.
     for (std::size_t i = 0; i < credit.size(); ++i) {
-      m_random = m_random * 6364136223846793005ULL + 1442695040888963407ULL;
-      credit[i] = static_cast<double>(m_random >> 33U) / static_cast<double>(1ULL << 31U) * total / 2;
+      credit[i] = std::uniform_real_distribution<>(0, total / 2)(m_random);
     }
   }
   double total = 0;
--- a/src/mesh_ingress_p.h
+++ b/src/mesh_ingress_p.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -154,7 +155,7 @@
   std::map<std::pair<std::string, std::string>, std::pair<Counter*, Histogram*>> m_counters;
   TokenHolder m_tokens;
   std::uint64_t m_token_version = 0;
-  std::uint64_t m_random;
+  std::minstd_rand m_random;
   bool m_refuse_all = false;
 };
 
