Keep one copy of what the mesh node had twice; make table patches once

A push to each node parsed both versions of a key table and compared them again; a patch is now made once for each version that receivers have. Packing a table searched the list of lives for each range. The replica's age went into messages in two forms, one of them without a bound: MeshSession::AgeMs is the one now. Splitting IP:PORT stood in the settings and the command line (ParseSocketAddress), seconds of a duration in four files (duration_p.h). The merge of pushed items and the status page's members are simpler.

--- a/src/admission.cc
+++ b/src/admission.cc
@@ -4,16 +4,14 @@
 #include <cmath>
 #include <utility>
 
+#include "duration_p.h"
+
 namespace magnoliaarch {
 namespace {
 
 // Reports whose send time is remembered; a grant that answers an older one is too late to matter.
 constexpr std::size_t kRememberedReports = 64;
 
-double Seconds(Duration duration) {
-  return static_cast<double>(duration.count()) / 1e6;
-}
-
 // A request may be admitted when this much of a token is there: rounding must not cost a whole token.
 constexpr double kTokenSlack = 1e-9;
 
--- a/src/ctl_commands_p.h
+++ b/src/ctl_commands_p.h
@@ -82,7 +82,7 @@
 // Prints members, slices by owner, roles, domains, and why slices are unavailable.
 CtlResult CtlStatus(const CtlContext& context, bool json);
 
-// Reads the status page of a mesh node, address IP:PORT. Errors: kUnavailable.
+// Reads the status page of a mesh node, address IP:PORT. Errors: kInvalidArgument, kUnavailable.
 absl::StatusOr<std::string> FetchMeshStatus(const std::string& address, Duration timeout);
 
 // Prints a mesh node's status page: members, owners of keys, and what is not served and why.
--- a/src/ctl_mesh.cc
+++ b/src/ctl_mesh.cc
@@ -1,7 +1,6 @@
 #include "ctl_commands_p.h"
 
 #include <asio.hpp>
-#include <charconv>
 #include <iterator>
 #include <map>
 #include <optional>
@@ -14,6 +13,7 @@
 
 #include "ctl_results_p.h"
 #include "http1_p.h"
+#include "mesh_settings_p.h"
 #include "text_p.h"
 
 namespace magnoliaarch {
@@ -22,6 +22,11 @@
 constexpr int kOk = 200;
 constexpr const char* kStatusPath = "/status";
 
+struct StatusMember {
+  std::string service;
+  bool evacuated = false;
+};
+
 struct MeshProblem {
   std::string service;
   std::string keys;  // "-" for the whole service
@@ -33,8 +38,7 @@
  public:
   explicit MeshStatusPage(const nlohmann::json& page) : m_page(page) {
     for (const auto& member : page.at("members")) {
-      m_services[member.at("node")] = member.at("service");
-      m_evacuated[member.at("node")] = member.value("evacuated", false);
+      m_members[member.at("node")] = StatusMember{member.at("service"), member.value("evacuated", false)};
     }
   }
 
@@ -82,8 +86,8 @@
       const std::string node = member.at("node");
       const std::string domain = member.at("domain");
       const auto owned = ranges.find(node);
-      Line("{:<28} {:<16} {:<20} {:>6}  {}", node, domain, m_services.at(node),
-           owned != ranges.end() ? owned->second : 0, m_evacuated.at(node) ? "evacuated" : "in");
+      Line("{:<28} {:<16} {:<20} {:>6}  {}", node, domain, m_members.at(node).service,
+           owned != ranges.end() ? owned->second : 0, m_members.at(node).evacuated ? "evacuated" : "in");
     }
   }
 
@@ -104,9 +108,9 @@
   std::string WhyNobody(const std::string& service) const {
     std::size_t members = 0;
     std::size_t evacuated = 0;
-    for (const auto& [node, served] : m_services) {
-      members += served == service ? 1 : 0;
-      evacuated += served == service && m_evacuated.at(node) ? 1 : 0;
+    for (const auto& [node, member] : m_members) {
+      members += member.service == service ? 1 : 0;
+      evacuated += member.service == service && member.evacuated ? 1 : 0;
     }
     if (members == 0) {
       return "no member serves it";
@@ -129,7 +133,7 @@
       }
       for (const auto& range : RangesOf(name)) {
         const std::string owner = range.at("owner");
-        if (!m_services.contains(owner)) {
+        if (!m_members.contains(owner)) {
           problems.push_back({name,
                               Cat(range.at("first").get<std::uint32_t>(), "-", range.at("last").get<std::uint32_t>()),
                               fmt::format("owner {} is not registered; {}", owner, waits)});
@@ -147,21 +151,21 @@
   }
 
   const nlohmann::json& m_page;
-  std::map<std::string, std::string> m_services;  // by member
-  std::map<std::string, bool> m_evacuated;        // by member
+  std::map<std::string, StatusMember> m_members;
   std::string m_out;
 };
 
 }  // namespace
 
 absl::StatusOr<std::string> FetchMeshStatus(const std::string& address, Duration timeout) {
-  const std::size_t colon = address.rfind(':');
-  std::uint16_t port = 0;
-  std::from_chars(address.data() + colon + 1, address.data() + address.size(), port);
+  const std::optional<SocketAddress> node = ParseSocketAddress(address);
+  if (!node) {
+    return absl::InvalidArgumentError("the address is no IP:PORT");
+  }
   asio::io_context context;
   HttpClientOptions options;
-  options.ip = address.substr(0, colon);
-  options.port = port;
+  options.ip = node->ip;
+  options.port = node->port;
   HttpClient client(context, options);
   HttpMessage request;
   request.method = "GET";
--- a/src/mesh_choice.cc
+++ b/src/mesh_choice.cc
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <utility>
 
+#include "duration_p.h"
+
 namespace magnoliaarch {
 namespace {
 
@@ -28,10 +30,6 @@
 // A target that starts again, or whose node does, is back within about this time.
 constexpr Duration kReturn = std::chrono::milliseconds(1500);
 
-double Seconds(Duration duration) {
-  return std::chrono::duration<double>(duration).count();
-}
-
 }  // namespace
 
 TargetChooser::TargetChooser(std::string domain, double domain_preference, std::uint64_t seed)
--- a/src/mesh_coordinator.cc
+++ b/src/mesh_coordinator.cc
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <utility>
 
+#include "duration_p.h"
+
 namespace magnoliaarch {
 namespace {
 
@@ -182,8 +184,7 @@
   proto::MeshPush push;
   push.set_node(m_node);
   push.set_revision(m_session.View().Revision());
-  push.set_store_age_ms(
-      static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(m_session.Age(now)).count()));
+  push.set_store_age_ms(m_session.AgeMs(now));
   std::map<std::string, std::int64_t> tables;
   for (proto::ViewItem& item : m_session.View().ItemsSince(peer.acknowledged)) {
     if (!item.key().starts_with(kMeshPrefix)) {
@@ -242,7 +243,7 @@
   Known& known = m_reports[report.node()];
   const bool same_life =
       known.report.target().id() == target.id() && known.report.target().start_ms() == target.start_ms();
-  const double passed = std::chrono::duration<double>(now - known.at).count();
+  const double passed = Seconds(now - known.at);
   known.service_s += (service_s - known.service_s) * (same_life ? 1 - std::exp(-passed / kServiceDecayS) : 1);
   known.at = now;
   known.report = report;
--- a/src/mesh_keys.cc
+++ b/src/mesh_keys.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <iterator>
 #include <map>
 #include <tuple>
 #include <utility>
@@ -556,30 +555,32 @@
   proto::PackedTable packed;
   packed.set_last_fence(table.last_fence());
   // In an order of their own, so that a move leaves the positions as they are.
-  std::map<std::tuple<std::string, std::string, std::int64_t>, const proto::TargetLife*> lives;
+  std::map<std::tuple<std::string, std::string, std::int64_t>, std::uint32_t> positions;
   const auto key_of = [](const proto::TargetLife& life) {
-    return std::make_tuple(life.node(), life.id(), static_cast<std::int64_t>(life.start_ms()));
+    return std::make_tuple(life.node(), life.id(), life.start_ms());
   };
   for (const proto::KeyRange& range : table.ranges()) {
-    lives.emplace(key_of(range.owner()), &range.owner());
+    positions.emplace(key_of(range.owner()), 0);
     if (range.has_successor()) {
-      lives.emplace(key_of(range.successor()), &range.successor());
+      positions.emplace(key_of(range.successor()), 0);
     }
   }
-  for (const auto& [key, life] : lives) {
-    *packed.add_lives() = *life;
+  for (auto& [key, position] : positions) {
+    position = static_cast<std::uint32_t>(packed.lives_size());
+    proto::TargetLife* life = packed.add_lives();
+    life->set_node(std::get<0>(key));
+    life->set_id(std::get<1>(key));
+    life->set_start_ms(std::get<2>(key));
   }
-  const auto position = [&](const proto::TargetLife& life) {
-    return static_cast<std::uint32_t>(std::distance(lives.begin(), lives.find(key_of(life))));
-  };
+  const auto position_of = [&](const proto::TargetLife& life) { return positions.at(key_of(life)); };
   for (const proto::KeyRange& range : table.ranges()) {
     proto::PackedRange* stored = packed.add_ranges();
     stored->set_last(range.last());
-    stored->set_owner(position(range.owner()));
+    stored->set_owner(position_of(range.owner()));
     stored->set_fence(range.fence());
     stored->set_handover(range.handover());
     if (range.has_successor()) {
-      stored->set_successor(position(range.successor()) + 1);
+      stored->set_successor(position_of(range.successor()) + 1);
     }
   }
   return packed.SerializeAsString();
--- a/src/mesh_limits.cc
+++ b/src/mesh_limits.cc
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <utility>
 
+#include "duration_p.h"
+
 namespace magnoliaarch {
 namespace {
 
@@ -23,10 +25,6 @@
 // a run took the second one over its bound.
 constexpr double kBudgetShare = 0.35;
 
-double Seconds(Duration duration) {
-  return std::chrono::duration<double>(duration).count();
-}
-
 }  // namespace
 
 void TokenPool::SetLimits(TimePoint now, const MeshConfig& config) {
--- a/src/mesh_node.cc
+++ b/src/mesh_node.cc
@@ -517,8 +517,8 @@
     status.ready = IsReady();
     status.coordinates = m_coordinator.IsCoordinator();
     status.config_version = m_config_version;
-    status.view_age = m_session.Age(now);
-    status.lease_left = m_session.AuthorityEnd() - now;
+    status.view_age = std::max(m_session.Age(now), Duration(0));
+    status.lease_left = std::max(m_session.AuthorityEnd() - now, Duration(0));
     status.store_reachable = m_store.IsReachable();
     status.store_calls = m_store.Calls();
     status.store_relayed = m_store.Relayed();
--- a/src/mesh_reports.cc
+++ b/src/mesh_reports.cc
@@ -20,11 +20,6 @@
 // Without answers of a coordinator for this long tokens come from the node's own part of each limit.
 constexpr Duration kWithoutCoordinator = std::chrono::milliseconds(1200);
 
-std::uint32_t ToMs(Duration duration) {
-  return static_cast<std::uint32_t>(
-      std::clamp<std::int64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count(), 0, INT32_MAX));
-}
-
 }  // namespace
 
 ReportExchange::ReportExchange(TimerQueue& timers,
@@ -153,7 +148,7 @@
     return "";
   }
   const TimePoint now = BootClock::now();
-  reply.set_store_age_ms(ToMs(m_session.Age(now)));
+  reply.set_store_age_ms(m_session.AgeMs(now));
   if (report.revision() > 0) {
     // A node that lost touch asks for everything after its revision. It says nothing of its target.
     reply.set_revision(m_session.View().Revision());
--- a/src/mesh_session.cc
+++ b/src/mesh_session.cc
@@ -290,6 +290,11 @@
   }
 }
 
+std::uint32_t MeshSession::AgeMs(TimePoint now) const {
+  const std::int64_t ms = std::chrono::duration_cast<std::chrono::milliseconds>(Age(now)).count();
+  return static_cast<std::uint32_t>(std::clamp<std::int64_t>(ms, 0, INT32_MAX));
+}
+
 bool MeshSession::HearsOperator(TimePoint now) const {
   return m_loops[0].after != 0 && m_loops[0].backoff == Duration(0) && now - m_operator_heard < kWatchSilence &&
          m_store.IsReachable();
@@ -310,13 +315,11 @@
 bool MeshSession::Merge(const google::protobuf::RepeatedPtrField<proto::ViewItem>& items,
                         std::int64_t revision,
                         Duration age) {
-  std::vector<proto::ViewItem> whole;
-  for (const proto::ViewItem& item : items) {
+  std::vector<proto::ViewItem> whole(items.begin(), items.end());
+  for (proto::ViewItem& item : whole) {
     const proto::ViewItem* known = m_view.FindItem(item.key());
-    const bool news = known == nullptr || known->revision() < item.revision();
-    if (!item.has_patch() || !news) {
-      // What is not newer is left out by the view, whatever it holds.
-      whole.push_back(item);
+    // What is not newer is left out by the view, whatever it holds.
+    if (!item.has_patch() || (known != nullptr && known->revision() >= item.revision())) {
       continue;
     }
     if (known == nullptr || known->deleted() || known->revision() != item.patch().base_revision()) {
@@ -326,9 +329,8 @@
     if (!value) {
       return false;
     }
-    whole.push_back(item);
-    whole.back().clear_patch();
-    whole.back().set_value(*std::move(value));
+    item.set_value(*std::move(value));
+    item.clear_patch();
   }
   bool changed = false;
   for (const proto::ViewItem& item : whole) {
--- a/src/mesh_session_p.h
+++ b/src/mesh_session_p.h
@@ -48,6 +48,8 @@
 
   // Age of the replica: time since it was last known to be complete.
   Duration Age(TimePoint now) const { return now - m_synced_at; }
+  // The same in milliseconds, as messages carry it; at its bound before the replica was first complete.
+  std::uint32_t AgeMs(TimePoint now) const;
   // The replica is kept by the coordinator; there is no need to watch the store.
   void OnSyncedByCoordinator(TimePoint now, Duration coordinator_age);
   // Changes from another node, complete up to the revision if that is not 0. False, with nothing taken, when a patch
--- a/src/mesh_settings.cc
+++ b/src/mesh_settings.cc
@@ -19,13 +19,12 @@
   if (!reader.RequiredText(key, expected, &text)) {
     return;
   }
-  if (!IsSocketAddress(text)) {
+  const std::optional<SocketAddress> address = ParseSocketAddress(text);
+  if (!address) {
     reader.Error(reader.LineOf(key), Cat("'", key, "' is '", text, "', expected ", expected));
     return;
   }
-  const std::size_t colon = text.rfind(':');
-  out->ip = text.substr(0, colon);
-  out->port = static_cast<std::uint16_t>(*ParseUnsigned(std::string_view(text).substr(colon + 1)));
+  *out = *address;
 }
 
 void ReadMilliseconds(IniReader& reader, const std::string& key, std::uint32_t min, Duration* out) {
@@ -88,6 +87,15 @@
 
 }  // namespace
 
+std::optional<SocketAddress> ParseSocketAddress(std::string_view text) {
+  if (!IsSocketAddress(text)) {
+    return std::nullopt;
+  }
+  const std::size_t colon = text.rfind(':');
+  return SocketAddress{std::string(text.substr(0, colon)),
+                       static_cast<std::uint16_t>(*ParseUnsigned(text.substr(colon + 1)))};
+}
+
 absl::StatusOr<MeshSettings> ParseMeshSettings(std::string_view text, const std::string& file_name) {
   IniErrors errors(file_name);
   MeshSettings settings;
--- a/src/mesh_settings_p.h
+++ b/src/mesh_settings_p.h
@@ -4,6 +4,7 @@
 #define MAGNOLIAARCH_SRC_MESH_SETTINGS_P_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -18,6 +19,9 @@
   bool operator==(const SocketAddress&) const = default;
 };
 
+// Nothing when the text is no IP:PORT.
+std::optional<SocketAddress> ParseSocketAddress(std::string_view text);
+
 struct MeshSettings {
   std::string node;
   std::string domain;
--- a/src/mesh_status.cc
+++ b/src/mesh_status.cc
@@ -1,18 +1,14 @@
 #include "mesh_status_p.h"
 
-#include <algorithm>
-
 #include <nlohmann/json.hpp>
 
+#include "duration_p.h"
+
 namespace magnoliaarch {
 namespace {
 
-double Seconds(Duration duration) {
-  return std::max(0.0, std::chrono::duration<double>(duration).count());
-}
-
 std::int64_t Milliseconds(Duration duration) {
-  return std::max<std::int64_t>(0, std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
 }
 
 nlohmann::json DescribeTable(const TableState& state) {
--- a/src/mesh_table_patch.cc
+++ b/src/mesh_table_patch.cc
@@ -85,7 +85,10 @@
 void SentTables::Shorten(std::int64_t receiver_has, proto::ViewItem* item) {
   std::deque<Version>& versions = m_versions[item->key()];
   if (versions.empty() || versions.back().revision < item->revision()) {
-    versions.push_back(Version{item->revision(), item->value()});
+    for (Version& version : versions) {
+      version.to_newest.reset();
+    }
+    versions.push_back(Version{item->revision(), item->value(), std::nullopt});
     if (versions.size() > kVersions) {
       versions.pop_front();
     }
@@ -95,13 +98,15 @@
   if (base == versions.end() || receiver_has >= item->revision()) {
     return;
   }
-  std::optional<proto::TablePatch> patch = MakeTablePatch(base->value, item->value());
-  if (!patch) {
-    return;
+  if (!base->to_newest) {
+    base->to_newest = MakeTablePatch(base->value, item->value());
+    if (!base->to_newest) {
+      return;
+    }
+    base->to_newest->set_base_revision(receiver_has);
   }
-  patch->set_base_revision(receiver_has);
-  if (patch->ByteSizeLong() < item->value().size()) {
-    *item->mutable_patch() = *std::move(patch);
+  if (base->to_newest->ByteSizeLong() < item->value().size()) {
+    *item->mutable_patch() = *base->to_newest;
     item->clear_value();
   }
 }
--- a/src/mesh_table_patch_p.h
+++ b/src/mesh_table_patch_p.h
@@ -32,6 +32,7 @@
   struct Version {
     std::int64_t revision = 0;
     std::string value;
+    std::optional<proto::TablePatch> to_newest;  // made for the first receiver that needs it
   };
   std::map<std::string, std::deque<Version>> m_versions;  // by key, oldest first
 };
