--- a/include/magnoliaarch/store.h
+++ b/include/magnoliaarch/store.h
@@ -28,6 +28,7 @@
 struct StoreRange {
   std::int64_t revision = 0;
   std::vector<StoreKv> kvs;
+  std::size_t unreadable = 0;  // entries that could not be parsed and were left out
 };
 
 // Condition of a transaction: the key has this modification revision; 0 means that the key does not exist.
@@ -64,6 +65,7 @@
 struct StoreWatchBatch {
   std::int64_t revision = 0;
   std::vector<StoreEvent> events;
+  std::size_t unreadable = 0;  // entries that could not be parsed and were left out
 };
 
 // Key-value store client. Calls block; an object must not be shared between threads. Errors: kUnavailable if the call
--- a/src/mesh_coordinator.cc
+++ b/src/mesh_coordinator.cc
@@ -5,16 +5,24 @@
 #include <utility>
 
 #include "duration_p.h"
+#include "mesh_duties_p.h"
 
 namespace magnoliaarch {
 namespace {
 
 // Candidates delay their attempt by the hash of their name, within this time, so that they do not all write at once.
 constexpr Duration kElectionSpread = std::chrono::milliseconds(300);
+constexpr Duration kHolderReturnTime = std::chrono::seconds(6);
 constexpr Duration kElectionRetryDelay = std::chrono::milliseconds(400);
 constexpr Duration kPlanPeriod = std::chrono::milliseconds(200);
-// Older reports are ignored as stale.
-constexpr Duration kMaxReportAge = std::chrono::milliseconds(1500);
+// Older reports are ignored as stale; in large deployments, where nodes report less often, reports that are older than
+// this many periods.
+constexpr Duration kMinStaleReportAge = std::chrono::milliseconds(1500);
+constexpr int kStaleReportPeriods = 2;
+// Load hints are the same for all nodes, and are collected at most this often.
+constexpr Duration kHintPeriod = std::chrono::milliseconds(100);
+// Candidates on weak hosts leave this much time to others.
+constexpr Duration kWeakHostElectionDelay = std::chrono::milliseconds(700);
 // A longer gap between ticks means that this process was stalled.
 constexpr Duration kMaxTickGap = std::chrono::milliseconds(200);
 // A new coordinator waits kSettleTime before it plans if all nodes and owners have reported, else kMaxSettleTime.
@@ -32,8 +40,6 @@
 // Delay after a write that the store did not accept.
 constexpr Duration kFailedWriteRetryDelay = std::chrono::milliseconds(800);
 constexpr Duration kPushRetryDelay = std::chrono::milliseconds(200);
-// Initial share of the burst in a new token pool; a new coordinator does not know what its predecessor handed out.
-constexpr double kInitialPoolFill = 0.35;
 // Time constant in seconds of the service time that plans use. The speed of a target's host varies several times a
 // second, so single reports are too noisy.
 constexpr double kServiceDecayS = 2;
@@ -48,12 +54,7 @@
                                  std::string node,
                                  std::uint64_t incarnation,
                                  CoordinatorRoleHooks hooks)
-    : m_session(session),
-      m_log(log),
-      m_node(std::move(node)),
-      m_incarnation(incarnation),
-      m_hooks(std::move(hooks)),
-      m_token_pool(kInitialPoolFill) {}
+    : m_session(session), m_log(log), m_node(std::move(node)), m_incarnation(incarnation), m_hooks(std::move(hooks)) {}
 
 bool CoordinatorRole::IsCoordinator() const {
   const auto& coordinator = m_session.View().Coordinator();
@@ -88,8 +89,7 @@
       m_sent_tables.Clear();
       m_reports.clear();
       m_planners.clear();
-      m_token_pool = TokenPool(kInitialPoolFill);
-      m_token_pool_version = 0;
+      m_hints_collected_at = TimePoint();
     }
   }
   if (!is_coordinator) {
@@ -121,19 +121,35 @@
   }
 }
 
+// Whether the record names a node that has had no member record for longer than a lease lasts. Such a record was left
+// by another writer, or its lease was.
+bool CoordinatorRole::HasNoHolder(TimePoint now) {
+  const auto& coordinator = m_session.View().Coordinator();
+  if (!coordinator.has_value() || m_session.View().FindMember(coordinator->node()) != nullptr) {
+    m_holder_absent_since = TimePoint();
+    return false;
+  }
+  if (m_holder_absent_since == TimePoint()) {
+    m_holder_absent_since = now;
+  }
+  return now - m_holder_absent_since > kHolderReturnTime;
+}
+
 void CoordinatorRole::TryAcquireRole(TimePoint now) {
   const auto& coordinator = m_session.View().Coordinator();
   // A record that an earlier run of a node has left behind may be replaced at once.
   const proto::MeshMember* holder =
       coordinator.has_value() ? m_session.View().FindMember(coordinator->node()) : nullptr;
   const bool role_vacant = !coordinator.has_value() || coordinator->node() == m_node ||
-                           (holder != nullptr && holder->incarnation() != coordinator->incarnation());
+                           (holder != nullptr && holder->incarnation() != coordinator->incarnation()) ||
+                           HasNoHolder(now);
   if (!role_vacant || !m_session.IsRegistered() || m_session.AuthorityEnd() <= now || m_role_write_pending) {
     m_next_election_at = TimePoint();
     return;
   }
   if (m_next_election_at == TimePoint()) {
-    m_next_election_at = now + kElectionSpread * (NodeHash(m_node) % 64) / 64;
+    m_next_election_at = now + kElectionSpread * (NodeHash(m_node) % 64) / 64 +
+                         (HasStrongerHost(m_session.View(), m_session.Self()) ? kWeakHostElectionDelay : Duration(0));
   }
   if (now < m_next_election_at) {
     return;
@@ -214,6 +230,7 @@
     return;
   }
   peer.push_in_flight = true;
+  peer.next_push_at = now + MinPushInterval(m_session.View().Members().size());
   m_hooks.push(
       member, push,
       [this, node = member.node(), incarnation = member.incarnation(), sequence, table_revisions](PushOutcome outcome) {
@@ -268,6 +285,19 @@
     return;
   }
   StoreReport(now, report);
+  if (m_hints_collected_at == TimePoint() || now - m_hints_collected_at >= kHintPeriod) {
+    m_hints_collected_at = now;
+    CollectHints(now);
+  }
+  *reply->mutable_hints() = m_hints;
+}
+
+Duration CoordinatorRole::MaxReportAge() const {
+  return std::max(kMinStaleReportAge, ReportPeriod(m_session.View().Members().size()) * kStaleReportPeriods);
+}
+
+void CoordinatorRole::CollectHints(TimePoint now) {
+  m_hints.Clear();
   const auto config = m_session.View().Config();
   if (config == nullptr) {
     return;
@@ -279,39 +309,15 @@
       continue;
     }
     const proto::TargetReport& target = known.report.target();
-    proto::LoadHint* hint = reply->add_hints();
+    proto::LoadHint* hint = m_hints.Add();
     hint->set_node(NodeHash(node));
     hint->set_load_permille(target.load_permille());
     hint->set_service_us(target.service_us());
-    const bool accepts = target.accepts() && !known.report.stopping() && now - known.received_at < kMaxReportAge;
+    const bool accepts = target.accepts() && !known.report.stopping() && now - known.received_at < MaxReportAge();
     hint->set_flags((accepts ? kHintAccepts : 0) | (target.cold() ? kHintCold : 0));
   }
 }
 
-void CoordinatorRole::OnTokenCall(TimePoint now, const proto::TokenCall& call, proto::TokenReply* reply) {
-  const auto config = m_session.View().Config();
-  if (!IsCoordinator() || config == nullptr) {
-    return;
-  }
-  if (m_token_pool_version != config->version) {
-    m_token_pool_version = config->version;
-    m_token_pool.SetLimits(now, *config);
-  }
-  reply->set_quota_version(static_cast<std::int64_t>(config->version));
-  if (call.quota_version() != reply->quota_version()) {
-    return;
-  }
-  for (const proto::TenantDemand& demand : call.demands()) {
-    const double given = m_token_pool.Take(now, demand.tenant(), demand.wanted_milli() / kMilliPerUnit,
-                                           m_session.View().Members().size());
-    if (given > 0) {
-      proto::TokenGrant* grant = reply->add_tokens();
-      grant->set_tenant(demand.tenant());
-      grant->set_milli(static_cast<std::uint32_t>(given * kMilliPerUnit));
-    }
-  }
-}
-
 // ---- Keys ----
 
 KeyPlanInput CoordinatorRole::BuildPlanInput(const std::string& service, const proto::KeyTable& table, TimePoint now) {
@@ -326,7 +332,7 @@
     }
     const proto::MeshReport& report = known->second.report;
     const proto::TargetReport& state = report.target();
-    const bool fresh = now - known->second.received_at < kMaxReportAge && report.incarnation() == member.incarnation();
+    const bool fresh = now - known->second.received_at < MaxReportAge() && report.incarnation() == member.incarnation();
     KeyTarget target;
     target.life.set_node(node);
     target.life.set_id(state.id());
@@ -374,7 +380,7 @@
     return;
   }
   KeyPlan plan = m_planners[service.name].Plan(input, table);
-  if (!plan.changed) {
+  if (!plan.changed && !(state != nullptr && state->unreadable)) {
     return;
   }
   StoreTxn txn;
--- a/src/mesh_coordinator_p.h
+++ b/src/mesh_coordinator_p.h
@@ -1,5 +1,5 @@
-// The coordinator role: replicates the view to all nodes, hands out rate limit tokens and plans key ownership. Any node
-// can hold the role through a lease; every decision takes effect by a conditional write in the store.
+// The coordinator role: replicates the view to all nodes and plans key ownership. Any node can hold the role through a
+// lease; every decision takes effect by a conditional write in the store.
 
 #ifndef MAGNOLIAARCH_SRC_MESH_COORDINATOR_P_H_
 #define MAGNOLIAARCH_SRC_MESH_COORDINATOR_P_H_
@@ -12,7 +12,6 @@
 
 #include "mesh.pb.h"
 #include "mesh_keys_p.h"
-#include "mesh_limits_p.h"
 #include "mesh_log_p.h"
 #include "mesh_session_p.h"
 #include "mesh_table_patch_p.h"
@@ -46,8 +45,6 @@
   void OnViewChanged();
   // Handles a report of any node, including this one.
   void OnReport(TimePoint now, const proto::MeshReport& report, proto::MeshReply* reply);
-  // Handles a node's request for workspace tokens.
-  void OnTokenCall(TimePoint now, const proto::TokenCall& call, proto::TokenReply* reply);
   // Deletes the coordinator record, so that another node can take the role at once.
   void Resign();
 
@@ -66,10 +63,15 @@
   };
 
   void StoreReport(TimePoint now, const proto::MeshReport& report);
+  bool HasNoHolder(TimePoint now);
   void TryAcquireRole(TimePoint now);
   void PlanService(const MeshService& service, TimePoint now);
   KeyPlanInput BuildPlanInput(const std::string& service, const proto::KeyTable& table, TimePoint now);
   void PushTo(const proto::MeshMember& member, TimePoint now);
+  // Fills m_hints from the last reports.
+  void CollectHints(TimePoint now);
+  // Older reports are ignored as stale.
+  Duration MaxReportAge() const;
 
   MeshSession& m_session;
   MeshLog& m_log;
@@ -77,18 +79,19 @@
   const std::uint64_t m_incarnation;
   CoordinatorRoleHooks m_hooks;
   std::map<std::string, ReportedState> m_reports;
+  google::protobuf::RepeatedPtrField<proto::LoadHint> m_hints;
+  TimePoint m_hints_collected_at;
   TimePoint m_last_tick_at;
   std::map<std::string, PeerReplica> m_peers;
   SentTables m_sent_tables;
   std::map<std::string, KeyPlanner> m_planners;
   std::set<std::string> m_pending_plan_writes;  // services whose table write is in flight
   std::map<std::string, TimePoint> m_absent_since;
-  TokenPool m_token_pool;
-  std::uint64_t m_token_pool_version = 0;
   bool m_was_coordinator = false;
   bool m_role_write_pending = false;
   TimePoint m_coordinator_since;
   TimePoint m_next_election_at;
+  TimePoint m_holder_absent_since;
   TimePoint m_next_resign_at;
   TimePoint m_last_plan_at;
   TimePoint m_store_last_unreachable_at;
--- a/src/mesh_ingress.cc
+++ b/src/mesh_ingress.cc
@@ -10,8 +10,10 @@
 constexpr int kMaxNodeSends = 6;
 // Maximum sends of one request to a service that is not sharded while its targets are busy.
 constexpr int kMaxBusyNodeSends = 3;
-// Maximum time that a request waits for tokens from the coordinator.
-constexpr Duration kTokenWait = std::chrono::milliseconds(60);
+// A request waits for tokens for at most this part of its objective, within the two limits.
+constexpr int kTokenWaitPart = 4;
+constexpr Duration kMinTokenWait = std::chrono::milliseconds(60);
+constexpr Duration kMaxTokenWait = std::chrono::milliseconds(250);
 // Interval at which a waiting request looks for an owner or target if no view change is reported.
 constexpr Duration kWaitPollInterval = std::chrono::milliseconds(40);
 // Delay before an owner that does not hold the key is tried again while the fence is unchanged.
@@ -52,6 +54,7 @@
       m_options(std::move(options)),
       m_hooks(std::move(hooks)),
       m_chooser(m_options.domain, m_options.domain_preference, m_options.seed),
+      m_tokens(m_options.seed),
       m_random(m_options.seed) {}
 
 // ---- Admission ----
@@ -186,21 +189,22 @@
   PendingRequest& pending = m_pending.at(id);
   const TimePoint now = BootClock::now();
   if (pending.workspace && !m_tokens.Take(now, *pending.workspace)) {
-    if (now - pending.received > kTokenWait || m_tokens.IsAtLimit(now, *pending.workspace)) {
+    const TimePoint wait_end =
+        pending.received + std::clamp(pending.route->objective / kTokenWaitPart, kMinTokenWait, kMaxTokenWait);
+    if (now >= wait_end || m_tokens.IsAtLimit(now, *pending.workspace) || !m_hooks.request_tokens(*pending.workspace)) {
       Refuse(id, MeshError::kRateExceeded, kQuotaRetryAfter);
       return;
     }
     if (!pending.waits_for_tokens) {
       pending.waits_for_tokens = true;
       m_token_waiters.insert(id);
-      pending.wait_timer = m_timers.At(pending.received + kTokenWait + std::chrono::milliseconds(1), [this, id] {
+      pending.wait_timer = m_timers.At(wait_end, [this, id] {
         if (m_pending.contains(id)) {
           m_pending.at(id).waits_for_tokens = false;
           m_token_waiters.erase(id);
           Admit(id);
         }
       });
-      m_hooks.request_tokens();
     }
     return;
   }
@@ -218,9 +222,6 @@
       Admit(id);
     }
   }
-  if (!m_token_waiters.empty()) {
-    m_hooks.request_tokens();
-  }
 }
 
 MeshRetryBudget& MeshIngress::RetryBudgetFor(const std::string& service) {
--- a/src/mesh_ingress_p.h
+++ b/src/mesh_ingress_p.h
@@ -64,8 +64,8 @@
                               SendHooks hooks)>
       send;
   std::function<void(std::uint64_t send)> cancel;
-  // Requests tokens from the coordinator without delay.
-  std::function<void()> request_tokens;
+  // Requests tokens of a workspace without delay. Returns false if nobody hands them out.
+  std::function<bool(std::size_t workspace)> request_tokens;
 };
 
 class MeshIngress {
--- a/src/mesh_keys.cc
+++ b/src/mesh_keys.cc
@@ -41,6 +41,10 @@
 // ranges are merged.
 constexpr Duration kMergePeriod = std::chrono::milliseconds(2500);
 constexpr int kMergeAboveRangesPerTarget = 3;
+// A plan's write names each lost node in a condition, and the store takes a limited number of conditions.
+constexpr std::size_t kMaxLostPerPlan = 24;
+// A lost owner's range is split into at most this many parts, so that the table stays short with many targets.
+constexpr std::size_t kMaxPartsOfLostRange = 8;
 // When the owner of a range is lost, the range is split only if it has at least this many keys.
 constexpr std::uint32_t kMinSplittableKeys = 2048;
 // Bonus, as a share of the wanted rate, for a move that keeps the number of ranges low.
@@ -330,7 +334,9 @@
   for (proto::KeyRange& range : *plan->table.mutable_ranges()) {
     const std::string& node = range.owner().node();
     const auto owner = input.targets.find(node);
-    const bool lease_ended = input.lost_nodes.contains(node);
+    // The keys of further lost nodes follow with the next plans.
+    const bool lease_ended = input.lost_nodes.contains(node) &&
+                             (plan->required_absent.contains(node) || plan->required_absent.size() < kMaxLostPerPlan);
     const bool replaced = owner != input.targets.end() && owner->second.life.start_ms() > range.owner().start_ms();
     const bool ended = input.ended_targets.contains(node) && owner != input.targets.end() &&
                        SameLife(owner->second.life, range.owner());
@@ -358,8 +364,8 @@
     std::vector<RangePiece> pieces = PiecesOf(range, owner != input.targets.end() ? &owner->second : nullptr);
     if (pieces.size() > 1 && range.last() - range.first() < kMinSplittableKeys) {
       pieces = {RangePiece{range.first(), range.last(), pieces.front().rate * static_cast<double>(pieces.size())}};
-    } else if (pieces.size() < accepting) {
-      pieces = EvenPieces(range, accepting, 0);
+    } else if (pieces.size() < std::min(accepting, kMaxPartsOfLostRange)) {
+      pieces = EvenPieces(range, std::min(accepting, kMaxPartsOfLostRange), 0);
     }
     for (const RangePiece& piece : pieces) {
       const KeyTarget* target = LeastUtilized(input, piece.rate, "");
@@ -607,7 +613,7 @@
   const auto lives = static_cast<std::uint32_t>(packed.lives_size());
   std::uint32_t first = 0;
   for (const proto::PackedRange& stored : packed.ranges()) {
-    if (stored.owner() >= lives || stored.successor() > lives || stored.last() < first) {
+    if (stored.owner() >= lives || stored.successor() > lives || stored.last() < first || stored.last() > kMaxKey) {
       return false;
     }
     proto::KeyRange* range = table->add_ranges();
--- a/src/mesh_limits.cc
+++ b/src/mesh_limits.cc
@@ -44,6 +44,13 @@
   m_buckets = std::move(buckets);
 }
 
+void TokenPool::Reset(TimePoint now, std::size_t workspace) {
+  if (workspace < m_buckets.size()) {
+    m_buckets[workspace].tokens = m_buckets[workspace].burst * m_initial_fill;
+    m_buckets[workspace].updated_at = now;
+  }
+}
+
 double TokenPool::Take(TimePoint now, std::size_t workspace, double wanted, std::size_t nodes) {
   if (workspace >= m_buckets.size() || wanted <= 0) {
     return 0;
@@ -64,7 +71,7 @@
 void TokenHolder::SetLimits(TimePoint now, const MeshConfig& config, std::size_t nodes) {
   std::vector<WorkspaceTokens> workspace_tokens;
   for (const MeshWorkspace& workspace : config.workspaces) {
-    WorkspaceTokens state{workspace.name, workspace.rate, workspace.burst, 0, 0, 0, now, 0, {}};
+    WorkspaceTokens state{workspace.name, workspace.rate, workspace.burst, 0, 0, 0, now, 0, {}, false};
     for (const WorkspaceTokens& old : m_workspace_tokens) {
       if (old.name == workspace.name) {
         state = old;
@@ -102,6 +109,10 @@
   }
   state.arrived_requests += 1;
   UpdateDemand(now, state);
+  if (state.fractions_admit && state.tokens < 1 && state.tokens > std::uniform_real_distribution<>(0, 1)(m_random)) {
+    state.tokens = 0;
+    return true;
+  }
   if (state.tokens < 1) {
     state.unmet_requests += 1;
     return false;
@@ -113,15 +124,18 @@
 void TokenHolder::Add(std::size_t workspace, double tokens) {
   if (workspace < m_workspace_tokens.size()) {
     m_workspace_tokens[workspace].tokens += tokens;
+    m_workspace_tokens[workspace].fractions_admit = false;
   }
 }
 
-std::vector<std::pair<std::size_t, double>> TokenHolder::TokensToRequest(TimePoint now, std::size_t nodes) {
+std::vector<std::pair<std::size_t, double>> TokenHolder::TokensToRequest(TimePoint now,
+                                                                         std::size_t nodes,
+                                                                         const Filter& selects) {
   const auto node_count = static_cast<double>(std::max<std::size_t>(nodes, 1));
   std::vector<std::pair<std::size_t, double>> wanted;
   for (std::size_t i = 0; i < m_workspace_tokens.size(); ++i) {
     WorkspaceTokens& state = m_workspace_tokens[i];
-    if (state.rate <= 0 || now < state.request_paused_until) {
+    if (state.rate <= 0 || now < state.request_paused_until || !selects(i)) {
       continue;
     }
     UpdateDemand(now, state);
@@ -145,10 +159,12 @@
   return workspace < m_workspace_tokens.size() && now < m_workspace_tokens[workspace].request_paused_until;
 }
 
-void TokenHolder::RefillWithoutCoordinator(TimePoint /*now*/, Duration elapsed, std::size_t nodes) {
+void TokenHolder::RefillLocally(Duration elapsed, std::size_t nodes, const Filter& selects) {
   const auto node_count = static_cast<double>(std::max<std::size_t>(nodes, 1));
-  for (WorkspaceTokens& state : m_workspace_tokens) {
-    if (state.rate > 0) {
+  for (std::size_t i = 0; i < m_workspace_tokens.size(); ++i) {
+    WorkspaceTokens& state = m_workspace_tokens[i];
+    if (state.rate > 0 && selects(i)) {
+      state.fractions_admit = state.burst < node_count;
       state.tokens = std::min(state.tokens + state.rate * Seconds(elapsed) / node_count,
                               std::max(state.tokens, state.burst / node_count));
     }
--- a/src/mesh_limits_p.h
+++ b/src/mesh_limits_p.h
@@ -5,8 +5,10 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
+#include <random>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -16,7 +18,7 @@
 
 namespace magnoliaarch {
 
-// Coordinator side: hands out the tokens of each workspace to the nodes that request them. The tokens handed out stay
+// Hands out the tokens of each workspace to the nodes that request them. The tokens handed out stay
 // within rate and burst in total, so the nodes together cannot exceed the limit.
 class TokenPool {
  public:
@@ -24,6 +26,8 @@
   // predecessor has handed out.
   explicit TokenPool(double initial_fill) : m_initial_fill(initial_fill) {}
   void SetLimits(TimePoint now, const MeshConfig& config);
+  // Sets a workspace's tokens to the initial fill, when this pool takes it over from another.
+  void Reset(TimePoint now, std::size_t workspace);
   // Takes up to `wanted` tokens for one of `nodes` nodes. Returns the number taken.
   double Take(TimePoint now, std::size_t workspace, double wanted, std::size_t nodes);
 
@@ -39,21 +43,32 @@
   std::vector<Bucket> m_buckets;  // by position in the configuration
 };
 
-// Node side: the tokens that the node holds and requests.
+// The tokens that a node holds and requests.
 class TokenHolder {
  public:
+  // Selects workspaces, by their position in the configuration.
+  using Filter = std::function<bool(std::size_t workspace)>;
+
+  explicit TokenHolder(std::uint64_t seed = 1) : m_random(static_cast<std::uint32_t>(seed)) {}
   void SetLimits(TimePoint now, const MeshConfig& config, std::size_t nodes);
   // Takes a token. Always succeeds for workspaces without a limit.
   bool Take(TimePoint now, std::size_t workspace);
   void Add(std::size_t workspace, double tokens);
-  // Tokens to request from the coordinator, as pairs of workspace and count. `nodes`: number of nodes that share the
-  // limit.
-  std::vector<std::pair<std::size_t, double>> TokensToRequest(TimePoint now, std::size_t nodes);
-  // The coordinator had no tokens: the workspace is at its limit. Pauses further requests for a short time.
+  // Tokens to request for the selected workspaces, as pairs of workspace and count. `nodes`: number of nodes that share
+  // the limit.
+  std::vector<std::pair<std::size_t, double>> TokensToRequest(
+      TimePoint now,
+      std::size_t nodes,
+      const Filter& selects = [](std::size_t) { return true; });
+  // There were no tokens: the workspace is at its limit. Pauses further requests for a short time.
   void OnTokensDenied(TimePoint now, std::size_t workspace);
   bool IsAtLimit(TimePoint now, std::size_t workspace) const;
-  // Adds tokens at this node's equal share of each limit. Called while no coordinator answers.
-  void RefillWithoutCoordinator(TimePoint now, Duration elapsed, std::size_t nodes);
+  // Adds tokens at this node's equal share of the selected workspaces' limits, while nobody hands them out. If a node's
+  // share of the burst is less than one request, a fraction of a token admits a request with that probability.
+  void RefillLocally(
+      Duration elapsed,
+      std::size_t nodes,
+      const Filter& selects = [](std::size_t) { return true; });
 
  private:
   struct WorkspaceTokens {
@@ -66,9 +81,11 @@
     TimePoint updated_at;
     double unmet_requests = 0;  // requests without a token since the last call of TokensToRequest
     TimePoint request_paused_until{};
+    bool fractions_admit = false;  // a fraction of a token admits a request with that probability
   };
   void UpdateDemand(TimePoint now, WorkspaceTokens& state);
   std::vector<WorkspaceTokens> m_workspace_tokens;
+  std::minstd_rand m_random;
 };
 
 // Limits the retries of one service. The budget of the whole service is `slack` retries plus `ratio` retries per
--- a/src/mesh_node.cc
+++ b/src/mesh_node.cc
@@ -76,10 +76,11 @@
         m_target(m_context, m_timers, *m_wire, m_log, TargetOptions(), TargetHooks()),
         m_ingress(m_timers, *m_wire, m_log, m_metrics, IngressOptions(), IngressHooks()),
         m_reports(m_timers, m_peers, m_session, m_coordinator, m_ingress, m_log, [this] { return OwnReport(); }),
+        m_token_service([this]() -> const MeshView& { return m_session.View(); }, m_settings.node),
         m_token_client(m_context,
                        m_peers,
                        m_session,
-                       m_coordinator,
+                       m_token_service,
                        m_log,
                        m_ingress.Tokens(),
                        [this] { m_ingress.OnTokens(); }),
@@ -135,6 +136,7 @@
     self.set_peer_port(m_settings.peer.port);
     self.set_domain(m_settings.domain);
     self.set_service(m_settings.service);
+    self.set_cpu_milli(static_cast<std::uint32_t>(m_settings.cpu_share * 1000));
     return self;
   }
 
@@ -215,7 +217,7 @@
         m_peers.Cancel(send);
       }
     };
-    hooks.request_tokens = [this] { m_token_client.RequestNow(); };
+    hooks.request_tokens = [this](std::size_t workspace) { return m_token_client.RequestNow(workspace); };
     return hooks;
   }
 
@@ -329,7 +331,7 @@
       proto::TokenCall tokens;
       proto::TokenReply answer;
       if (tokens.ParseFromString(message.head)) {
-        m_coordinator.OnTokenCall(BootClock::now(), tokens, &answer);
+        answer = m_token_service.OnTokenCall(BootClock::now(), tokens);
       }
       reply(answer.SerializeAsString(), "");
     } else if (message.path == kPushPath) {
@@ -377,6 +379,7 @@
                      {"revision", m_session.View().Revision()}});
       }
       m_coordinator.OnViewChanged();
+      m_token_service.OnViewChanged(BootClock::now());
       m_target.OnViewChanged();
       m_ingress.OnViewChanged();
     });
@@ -393,12 +396,23 @@
 
   // ---- Store calls through other nodes ----
 
+  // Uses the same node as long as it reaches the store.
   bool Relay(const HttpMessage& call, Duration timeout, HttpClient::Done done) {
-    const proto::MeshMember* member = m_reports.RandomMember();
+    const proto::MeshMember* member = m_session.View().FindMember(m_relay_node);
+    if (member == nullptr) {
+      member = m_reports.RandomMember();
+    }
     if (member == nullptr) {
       return false;
     }
-    RelayStoreCall(m_peers, AddressOf(*member), call, timeout, std::move(done));
+    m_relay_node = member->node();
+    RelayStoreCall(m_peers, AddressOf(*member), call, timeout,
+                   [this, node = m_relay_node, done = std::move(done)](HttpResult result) {
+                     if (result.outcome != HttpOutcome::kAnswered && m_relay_node == node) {
+                       m_relay_node.clear();
+                     }
+                     done(std::move(result));
+                   });
     return true;
   }
 
@@ -421,16 +435,13 @@
     if (since_last > kStallThreshold) {
       ReportStall(since_last);
     }
-    m_session.SetMustWatch(m_coordinator.IsCoordinator() || !m_session.View().Coordinator().has_value());
+    m_session.SetMustWatch(m_coordinator.IsCoordinator());
     m_session.OnTick(now);
     m_coordinator.OnTick(now, m_store.IsReachable(), m_stop.Begun());
     m_target.OnTick(now);
     m_peers.OnTick(now);
     m_reports.OnTick(now);
     m_token_client.OnTick(now);
-    if (!m_reports.HasCoordinator(now)) {
-      m_ingress.Tokens().RefillWithoutCoordinator(now, now - m_last_tick_at, m_session.View().Members().size());
-    }
     if (now - m_last_slow_tick_at > std::chrono::milliseconds(500)) {
       m_last_slow_tick_at = now;
       for (Http1Server* server : {&m_caller_server, &m_readiness_server, &m_registration_server, &m_metrics_server}) {
@@ -514,6 +525,9 @@
     state.target_accepts = m_target.Report(now).accepts();
     state.idle = m_ingress.InProgress() == 0 && m_target.InProgress() == 0 && m_caller_server.InProgress() == 0;
     state.store_notified = m_store_notified;
+    if (const auto config = m_session.View().Config()) {
+      state.longest_work = config->LongestObjective(m_settings.service);
+    }
     const StopSteps steps = m_stop.Step(now, m_settings.bounds.stop_grace, state);
     if (steps.drain_callers) {
       m_caller_server.Drain();
@@ -590,6 +604,7 @@
   MeshTarget m_target;
   MeshIngress m_ingress;
   ReportExchange m_reports;
+  TokenService m_token_service;
   TokenClient m_token_client;
   Http1Server m_caller_server;
   Http1Server m_readiness_server;
@@ -598,6 +613,7 @@
 
   std::uint64_t m_last_local_ticket = 0;
   std::unordered_map<std::uint64_t, std::function<void(SendResult)>> m_local_callbacks;
+  std::string m_relay_node;  // the node that relayed the last store call
   bool m_view_change_posted = false;
   std::uint64_t m_config_version = 0;
   TimePoint m_last_tick_at;
--- a/src/mesh_peers.cc
+++ b/src/mesh_peers.cc
@@ -181,6 +181,14 @@
   connection.peer = peer;
   asio::error_code error;
   const auto address = asio::ip::make_address(peer.ip, error);
+  if (error || peer.port == 0) {
+    asio::post(m_context, [this, alive = std::weak_ptr<bool>(m_alive), connection_id = *id] {
+      if (!alive.expired()) {
+        FailConnection(connection_id, "the node has no valid address");
+      }
+    });
+    return connection;
+  }
   connection.connecting = std::make_shared<asio::ip::tcp::socket>(m_context);
   connection.connect_timer = m_timers.At(BootClock::now() + kConnectTimeout, [this, connection_id = *id] {
     const auto it = m_outbound.find(connection_id);
--- a/src/mesh_reports.cc
+++ b/src/mesh_reports.cc
@@ -9,7 +9,6 @@
 namespace magnoliaarch {
 namespace {
 
-constexpr Duration kReportPeriod = std::chrono::milliseconds(400);
 // Minimum time between two reports, for those sent ahead of the period.
 constexpr Duration kMinReportInterval = std::chrono::milliseconds(15);
 constexpr Duration kReportTimeout = std::chrono::milliseconds(500);
@@ -17,8 +16,6 @@
 // A replica older than this is synchronized from a random node.
 constexpr Duration kStaleReplica = std::chrono::milliseconds(1500);
 constexpr Duration kSyncPeriod = std::chrono::milliseconds(500);
-// If the coordinator has not answered for this long, the node issues tokens from its own share of each limit.
-constexpr Duration kCoordinatorTimeout = std::chrono::milliseconds(1200);
 
 }  // namespace
 
@@ -41,16 +38,13 @@
   if (now >= m_next_report_at) {
     ReportNow(now);
   }
-  const bool stale = m_session.ReplicaAge(now) > kStaleReplica && now - m_coordinator_heard_at > kStaleReplica;
+  const Duration stale_after = std::max(kStaleReplica, CoordinatorTimeout(m_session.View().Members().size()));
+  const bool stale = m_session.ReplicaAge(now) > stale_after && now - m_coordinator_heard_at > stale_after;
   if (stale || !m_session.IsOperatorWatchLive(now)) {
     SyncFromRandomMember(now);
   }
 }
 
-bool ReportExchange::HasCoordinator(TimePoint now) const {
-  return m_session.View().Coordinator().has_value() && now - m_coordinator_heard_at <= kCoordinatorTimeout;
-}
-
 void ReportExchange::ReportSoon() {
   if (m_report_timer != 0) {
     return;
@@ -68,7 +62,7 @@
     return;
   }
   m_last_report_at = now;
-  m_next_report_at = now + kReportPeriod;
+  m_next_report_at = now + ReportPeriod(m_session.View().Members().size());
   const proto::MeshReport report = m_own_report();
   if (m_coordinator.IsCoordinator()) {
     proto::MeshReply reply;
@@ -96,7 +90,10 @@
     return;
   }
   m_coordinator_heard_at = BootClock::now();
-  m_session.OnSyncedByCoordinator(requested_at, std::chrono::milliseconds(reply.store_age_ms()));
+  if (!m_coordinator.IsCoordinator()) {
+    m_session.OnSyncedByCoordinator(requested_at, std::chrono::milliseconds(reply.store_age_ms()),
+                                    reply.operator_revision());
+  }
   std::map<std::uint32_t, std::string> names;
   for (const auto& [node, member] : m_session.View().Members()) {
     names.emplace(NodeHash(node), node);
@@ -122,7 +119,7 @@
     return;
   }
   m_next_sync_at = now + kSyncPeriod;
-  const proto::MeshMember* member = RandomMember();
+  const proto::MeshMember* member = RandomWatcher();
   if (member == nullptr) {
     return;
   }
@@ -149,6 +146,7 @@
   }
   const TimePoint now = BootClock::now();
   reply.set_store_age_ms(m_session.ReplicaAgeMs(now));
+  reply.set_operator_revision(m_session.View().OperatorRevision());
   if (report.revision() > 0) {
     // A synchronization request: the sender lacks changes after its revision. It does not describe its target.
     reply.set_revision(m_session.View().Revision());
@@ -187,15 +185,25 @@
                });
 }
 
-const proto::MeshMember* ReportExchange::RandomMember() {
+const proto::MeshMember* ReportExchange::RandomMember(const std::function<bool(const proto::MeshMember&)>& selects) {
   const TimePoint now = BootClock::now();
   std::vector<const proto::MeshMember*> others;
   for (const auto& [node, member] : m_session.View().Members()) {
-    if (node != m_session.Self().node() && m_ingress.Hints()[node].avoid_until < now) {
+    if (node != m_session.Self().node() && m_ingress.Hints()[node].avoid_until < now && selects(member)) {
       others.push_back(&member);
     }
   }
   return others.empty() ? nullptr : others[RandomNumber() % others.size()];
 }
 
+const proto::MeshMember* ReportExchange::RandomWatcher() {
+  const MeshView& view = m_session.View();
+  // Every other time any node is asked, since all watchers of the domain may be cut off from the store.
+  m_sync_within_domain = !m_sync_within_domain;
+  const proto::MeshMember* watcher = !m_sync_within_domain ? nullptr : RandomMember([&](const auto& member) {
+    return member.domain() == m_session.Self().domain() && WatchesForDomain(view, member);
+  });
+  return watcher != nullptr ? watcher : RandomMember();
+}
+
 }  // namespace magnoliaarch
--- a/src/mesh_reports_p.h
+++ b/src/mesh_reports_p.h
@@ -11,6 +11,7 @@
 
 #include "mesh.pb.h"
 #include "mesh_coordinator_p.h"
+#include "mesh_duties_p.h"
 #include "mesh_ingress_p.h"
 #include "mesh_log_p.h"
 #include "mesh_peers_p.h"
@@ -46,13 +47,15 @@
   // Sends changes of the coordinator's replica to a node.
   void Push(const proto::MeshMember& to, const proto::MeshPush& push, std::function<void(PushOutcome)> done);
 
-  bool HasCoordinator(TimePoint now) const;
-  // A random other node that is not known to be unreachable; null if there is none.
-  const proto::MeshMember* RandomMember();
+  // A random other node that is selected and not known to be unreachable; null if there is none.
+  const proto::MeshMember* RandomMember(const std::function<bool(const proto::MeshMember&)>& selects =
+                                            [](const proto::MeshMember&) { return true; });
 
  private:
   void OnReply(const proto::MeshReply& reply, TimePoint requested_at);
   void SyncFromRandomMember(TimePoint now);
+  // A random node to synchronize from.
+  const proto::MeshMember* RandomWatcher();
 
   TimerQueue& m_timers;
   MeshPeers& m_peers;
@@ -67,6 +70,7 @@
   TimerId m_report_timer = 0;
   TimePoint m_coordinator_heard_at;
   TimePoint m_next_sync_at;
+  bool m_sync_within_domain = false;
 };
 
 }  // namespace magnoliaarch
--- a/src/mesh_session.cc
+++ b/src/mesh_session.cc
@@ -5,6 +5,7 @@
 #include <utility>
 #include <vector>
 
+#include "mesh_duties_p.h"
 #include "mesh_table_patch_p.h"
 
 namespace magnoliaarch {
@@ -25,8 +26,16 @@
 constexpr Duration kMinRegisterRetryDelay = std::chrono::milliseconds(150);
 constexpr Duration kMemberRetryDelay = std::chrono::milliseconds(20);
 constexpr Duration kMaxRegisterRetryDelay = std::chrono::milliseconds(1500);
-// If the coordinator has not confirmed the replica for this long, the node watches the mesh's records itself.
-constexpr Duration kCoordinatorTimeout = std::chrono::milliseconds(1000);
+// A node that is not asked to watch the mesh's records does so when its replica is older than this.
+constexpr Duration kMaxUnwatchedAge = std::chrono::milliseconds(3500);
+// Time that a watch waits for a change. A dead connection is detected only by the timeout, so the wait is long only
+// while the coordinator confirms that there was no change.
+constexpr Duration kWatchWait = std::chrono::seconds(3);
+constexpr Duration kConfirmedWatchWait = std::chrono::seconds(15);
+// The coordinator confirms the replicas of the others, so its own must not be old.
+constexpr Duration kCoordinatorWatchWait = std::chrono::milliseconds(1500);
+// A change that the coordinator knows has arrived here within this time, unless the watch is dead.
+constexpr Duration kOperatorChangeDelay = std::chrono::milliseconds(300);
 constexpr Duration kMaxCoordinatorAge = std::chrono::milliseconds(4500);
 // The watch of the operator's records returns at least this often, also without changes.
 constexpr Duration kOperatorWatchTimeout = std::chrono::milliseconds(4000);
@@ -95,12 +104,15 @@
   if (m_lease != 0 && !m_renewing && now >= m_renew_at) {
     Renew(now);
   }
-  const bool kept_by_coordinator = !m_must_watch && now - m_coordinator_synced_at < kCoordinatorTimeout;
-  if (m_watches_mesh_keys == kept_by_coordinator) {
-    m_watches_mesh_keys = !kept_by_coordinator;
+  const bool watches = m_must_watch || (!IsKeptByCoordinator(now) &&
+                                        (!IsRegistered() || WatchesForDomain(m_view, m_self) ||
+                                         std::min(ReplicaAge(now), now - m_coordinator_synced_at) > kMaxUnwatchedAge));
+  if (m_watches_mesh_keys != watches) {
+    m_watches_mesh_keys = watches;
     m_log.Write(LogCategory::kState, m_watches_mesh_keys ? "watch_started" : "watch_ended",
                 {{"revision", m_view.Revision()}});
   }
+  CheckOperatorWatch(now);
   if (m_lease != 0) {
     // Every node watches the operator's records itself: changes to them must take effect quickly, and store traffic
     // does not cross failure domains.
@@ -234,6 +246,7 @@
     if (&loop == m_watch_loops) {
       m_operator_heard_at = BootClock::now();
     }
+    LogUnreadable(loop, range->unreadable);
     const bool changed = m_view.ApplyRange(loop.prefix, *range);
     OnWatchProgress(BootClock::now());
     if (changed) {
@@ -242,6 +255,13 @@
   });
 }
 
+Duration MeshSession::WatchWait(const WatchLoop& loop, TimePoint now) const {
+  if (m_must_watch) {
+    return kCoordinatorWatchWait;
+  }
+  return &loop == m_watch_loops && IsKeptByCoordinator(now) ? kConfirmedWatchWait : kWatchWait;
+}
+
 void MeshSession::RunWatch(WatchLoop& loop, TimePoint now) {
   if (loop.call_pending || now < loop.not_before) {
     return;
@@ -251,8 +271,9 @@
     return;
   }
   loop.call_pending = true;
+  loop.opened_at = now;
   loop.watch_id =
-      m_store.Watch(loop.prefix, loop.after_revision,
+      m_store.Watch(loop.prefix, loop.after_revision, WatchWait(loop, now),
                     [this, &loop, generation = loop.generation](const absl::StatusOr<StoreWatchBatch>& batch) {
                       if (generation != loop.generation) {
                         return;
@@ -271,6 +292,7 @@
                       }
                       loop.after_revision = std::max(loop.after_revision, batch->revision);
                       loop.backoff = Duration(0);
+                      LogUnreadable(loop, batch->unreadable);
                       bool changed = false;
                       for (const StoreEvent& event : batch->events) {
                         changed = m_view.Apply(event) || changed;
@@ -306,15 +328,47 @@
          now - m_operator_heard_at < kOperatorWatchTimeout && m_store.IsReachable();
 }
 
+void MeshSession::LogUnreadable(const WatchLoop& loop, std::size_t entries) {
+  if (entries > 0) {
+    m_log.Write(LogCategory::kFailure, "entries_unreadable", {{"prefix", loop.prefix}, {"entries", entries}});
+  }
+}
+
 void MeshSession::OnWatchFailed(WatchLoop& loop, const absl::Status& status) {
   loop.backoff = std::clamp(loop.backoff * 2, kMinWatchBackoff, kMaxWatchBackoff);
   loop.not_before = BootClock::now() + loop.backoff;
   m_log.Write(LogCategory::kFailure, "watch_failed", {{"prefix", loop.prefix}, {"why", std::string(status.message())}});
 }
 
-void MeshSession::OnSyncedByCoordinator(TimePoint now, Duration coordinator_age) {
-  if (coordinator_age < kMaxCoordinatorAge) {
-    m_coordinator_synced_at = now;
+bool MeshSession::IsKeptByCoordinator(TimePoint now) const {
+  return now - m_coordinator_synced_at < CoordinatorTimeout(m_view.Members().size());
+}
+
+void MeshSession::OnSyncedByCoordinator(TimePoint now, Duration coordinator_age, std::int64_t operator_revision) {
+  if (coordinator_age >= kMaxCoordinatorAge) {
+    return;
+  }
+  m_coordinator_synced_at = now;
+  if (operator_revision <= std::max(m_view.OperatorRevision(), m_watch_loops[0].after_revision)) {
+    m_operator_heard_at = std::max(m_operator_heard_at, now - coordinator_age);
+    m_operator_behind_since = TimePoint();
+  } else if (m_operator_behind_since == TimePoint()) {
+    m_operator_behind_since = now;
+  }
+}
+
+void MeshSession::CheckOperatorWatch(TimePoint now) {
+  WatchLoop& loop = m_watch_loops[0];
+  if (loop.watch_id == 0) {
+    return;
+  }
+  const bool behind = m_operator_behind_since != TimePoint() && now - m_operator_behind_since > kOperatorChangeDelay;
+  const bool unconfirmed =
+      now - loop.opened_at > kOperatorWatchTimeout && now - m_operator_heard_at > kOperatorWatchTimeout;
+  if (behind || unconfirmed) {
+    m_operator_behind_since = TimePoint();
+    m_log.Write(LogCategory::kState, "watch_restarted", {{"prefix", loop.prefix}, {"behind", behind}});
+    RestartWatch(loop);
   }
 }
 
--- a/src/mesh_session_p.h
+++ b/src/mesh_session_p.h
@@ -52,7 +52,8 @@
   // hour, so the result is at least that until the replica is complete for the first time.
   std::uint32_t ReplicaAgeMs(TimePoint now) const;
   // The coordinator keeps this replica up to date, so this node does not need to watch the mesh's records.
-  void OnSyncedByCoordinator(TimePoint now, Duration coordinator_age);
+  // `operator_revision`: latest change of the operator's records that the coordinator knows.
+  void OnSyncedByCoordinator(TimePoint now, Duration coordinator_age, std::int64_t operator_revision);
   // Applies changes from another node. If `revision` is not 0, the changes make the replica complete up to this
   // revision. Returns false and applies nothing if a patch does not match this replica's base.
   bool Merge(const google::protobuf::RepeatedPtrField<proto::ViewItem>& items, std::int64_t revision, Duration age);
@@ -77,6 +78,7 @@
     std::uint64_t watch_id = 0;    // id of the open watch; 0: none
     std::uint64_t generation = 0;  // answers to calls of earlier generations are ignored
     TimePoint not_before;
+    TimePoint opened_at;  // of the open watch
     Duration backoff{};
   };
 
@@ -90,7 +92,13 @@
   void ReadPrefix(WatchLoop& loop);
   // Cancels the pending call, whose connection may have become dead while the store was unreachable.
   void RestartWatch(WatchLoop& loop);
+  // Restarts the watch of the operator's records if it is likely dead.
+  void CheckOperatorWatch(TimePoint now);
+  // Time for which a watch that is opened now may wait for a change.
+  Duration WatchWait(const WatchLoop& loop, TimePoint now) const;
+  bool IsKeptByCoordinator(TimePoint now) const;
   void OnWatchProgress(TimePoint now);
+  void LogUnreadable(const WatchLoop& loop, std::size_t entries);
   void OnWatchFailed(WatchLoop& loop, const absl::Status& status);
 
   TimerQueue& m_timers;
@@ -114,7 +122,10 @@
   bool m_watches_mesh_keys = false;
   TimePoint m_synced_at;
   TimePoint m_coordinator_synced_at;
+  // When the operator's records of this replica were last known to be complete.
   TimePoint m_operator_heard_at;
+  // Since when the coordinator has known a change of them that this node has not received; zero: it has received all.
+  TimePoint m_operator_behind_since;
   bool m_store_was_reachable = true;
 };
 
--- a/src/mesh_settings.cc
+++ b/src/mesh_settings.cc
@@ -37,6 +37,7 @@
 void ReadNode(IniReader& reader, MeshSettings* settings) {
   reader.RequiredText("name", "the name of this node", &settings->node);
   reader.RequiredText("failure_domain", "the name of the failure domain", &settings->domain);
+  reader.Real("cpu_share", 0, 1024, "cores", &settings->cpu_share);
   ReadAddress(reader, "ingress", &settings->ingress);
   ReadAddress(reader, "ready", &settings->ready);
   ReadAddress(reader, "peer", &settings->peer);
--- a/src/mesh_settings_p.h
+++ b/src/mesh_settings_p.h
@@ -33,6 +33,7 @@
   SocketAddress peer;          // for other nodes
   SocketAddress metrics;
   SocketAddress store;
+  double cpu_share = 0;  // of this host, in cores; 0: not known
   double domain_preference = 0.4;
   MeshBounds bounds;
 };
--- a/src/mesh_store.cc
+++ b/src/mesh_store.cc
@@ -10,11 +10,13 @@
 // The store usually answers within milliseconds, and within some hundred when it is slow.
 constexpr Duration kCallTimeout = std::chrono::milliseconds(1000);
 constexpr Duration kRelayTimeout = std::chrono::milliseconds(1200);
-// Time that a watch waits for a change. Short, because a dead connection is detected only by the timeout.
-constexpr Duration kWatchWait = std::chrono::seconds(3);
-constexpr Duration kWatchTimeout = kWatchWait + std::chrono::milliseconds(800);
-// For this long after a failure, calls are sent to another node first; after that, directly to the store again.
-constexpr Duration kRelayFirstAfterFailure = std::chrono::milliseconds(1500);
+// Added to the time that a watch waits for a change.
+constexpr Duration kWatchAnswerTime = std::chrono::milliseconds(800);
+// While the store is not reachable, calls go through another node first, and one call in this time also goes to the
+// store directly.
+constexpr Duration kProbePeriod = std::chrono::milliseconds(1500);
+// Nodes that are asked to relay a call, if the first ones cannot reach the store either.
+constexpr int kMaxRelayNodes = 3;
 
 // If a relayed call fails too, the store is down or overloaded, and further relayed calls would only add load.
 constexpr Duration kRelayPause = std::chrono::milliseconds(1000);
@@ -79,9 +81,6 @@
 }
 
 void MeshStore::SetReachable(bool reachable, std::string_view detail) {
-  if (!reachable) {
-    m_failed_at = BootClock::now();
-  }
   if (reachable != m_reachable) {
     m_reachable = reachable;
     m_log.Write(LogCategory::kState, reachable ? "store_regained" : "store_lost", {{"detail", detail}});
@@ -89,6 +88,14 @@
 }
 
 void MeshStore::CallForPeer(HttpMessage call, Duration timeout, HttpClient::Done done) {
+  if (!m_reachable) {
+    // The asking node tries another one at once instead of waiting for a time-out.
+    HttpResult refused;
+    refused.outcome = HttpOutcome::kNotConnected;
+    refused.detail = "the relaying node does not reach the store";
+    done(std::move(refused));
+    return;
+  }
   CallDirectly("for_peer", std::move(call), timeout, std::move(done));
 }
 
@@ -104,11 +111,15 @@
   });
 }
 
-bool MeshStore::TryRelay(const HttpMessage& call, HttpClient::Done done) {
+bool MeshStore::TryRelay(const HttpMessage& call, HttpClient::Done done, int nodes_left) {
   if (BootClock::now() < m_relay_paused_until) {
     return false;
   }
-  const bool relayed = m_relay(call, kRelayTimeout, [this, done = std::move(done)](HttpResult result) {
+  const bool relayed = m_relay(call, kRelayTimeout, [this, call, done, nodes_left](HttpResult result) {
+    const bool not_reached = result.outcome == HttpOutcome::kRefused || result.outcome == HttpOutcome::kNotConnected;
+    if (not_reached && nodes_left > 1 && TryRelay(call, done, nodes_left - 1)) {
+      return;
+    }
     if (!HasUsableAnswer(result)) {
       m_relay_paused_until = BootClock::now() + kRelayPause;
     }
@@ -118,20 +129,29 @@
   return relayed;
 }
 
+void MeshStore::ProbeDirectly(std::string_view kind, const HttpMessage& call, RetryPolicy retry_policy) {
+  const TimePoint now = BootClock::now();
+  if (retry_policy == RetryPolicy::kAlways && now >= m_next_probe_at) {
+    m_next_probe_at = now + kProbePeriod;
+    CallDirectly(kind, call, kCallTimeout, [](const HttpResult&) {});
+  }
+}
+
 void MeshStore::Call(std::string_view kind, HttpMessage call, RetryPolicy retry_policy, HttpClient::Done done) {
-  const bool relay_first = !m_reachable && BootClock::now() - m_failed_at < kRelayFirstAfterFailure;
-  if (relay_first && TryRelay(call, [this, kind, call, done](HttpResult result) {
-        if (HasUsableAnswer(result) || !IsNotApplied(result)) {
-          done(std::move(result));
-        } else {
-          CallDirectly(kind, call, kCallTimeout, done);
-        }
-      })) {
+  const auto call_directly_unless_sent = [this, kind, call, done](HttpResult result) {
+    if (HasUsableAnswer(result) || !IsNotApplied(result)) {
+      done(std::move(result));
+    } else {
+      CallDirectly(kind, call, kCallTimeout, done);
+    }
+  };
+  if (!m_reachable && TryRelay(call, call_directly_unless_sent, kMaxRelayNodes)) {
+    ProbeDirectly(kind, call, retry_policy);
     return;
   }
   CallDirectly(kind, call, kCallTimeout, [this, call, retry_policy, done](HttpResult result) {
     const bool may_retry = !HasUsableAnswer(result) && (IsNotApplied(result) || retry_policy == RetryPolicy::kAlways);
-    if (!may_retry || !TryRelay(call, done)) {
+    if (!may_retry || !TryRelay(call, done, kMaxRelayNodes)) {
       done(std::move(result));
     }
   });
@@ -160,6 +180,7 @@
     if (range->revision == 0) {
       range->revision = page->range.revision;
     }
+    range->unreadable += page->range.unreadable;
     for (StoreKv& kv : page->range.kvs) {
       range->kvs.push_back(std::move(kv));
     }
@@ -203,9 +224,10 @@
 
 std::uint64_t MeshStore::Watch(const std::string& prefix,
                                std::int64_t after_revision,
+                               Duration wait,
                                std::function<void(absl::StatusOr<StoreWatchBatch>)> done) {
   ++m_calls["watch"];
-  return m_client.Send(WithHost(m_wire.WatchCall(prefix, after_revision, kWatchWait)), kWatchTimeout, nullptr,
+  return m_client.Send(WithHost(m_wire.WatchCall(prefix, after_revision, wait)), wait + kWatchAnswerTime, nullptr,
                        [this, done = std::move(done)](const HttpResult& result) {
                          if (!HasUsableAnswer(result)) {
                            done(FailureStatus(result));
--- a/src/mesh_store_p.h
+++ b/src/mesh_store_p.h
@@ -33,15 +33,17 @@
   void GrantLease(Duration ttl, std::function<void(absl::StatusOr<std::int64_t>)> done);
   void RenewLease(std::int64_t lease, std::function<void(absl::Status)> done);
   void RevokeLease(std::int64_t lease, std::function<void(absl::Status)> done);
-  // Waits for changes. Never relayed, because the store counts every open watch as a call. The returned id is for
-  // CancelWatch, after which `done` is not called.
+  // Waits for changes, at most for `wait`. Never relayed, because the store counts every open watch as a call. The
+  // returned id is for CancelWatch, after which `done` is not called.
   std::uint64_t Watch(const std::string& prefix,
                       std::int64_t after_revision,
+                      Duration wait,
                       std::function<void(absl::StatusOr<StoreWatchBatch>)> done);
 
   void CancelWatch(std::uint64_t watch) { m_client.Cancel(watch); }
 
-  // Makes a call on behalf of another node. The call is not relayed further.
+  // Makes a call on behalf of another node. The call is not relayed further, and fails at once as not connected if this
+  // node does not reach the store.
   void CallForPeer(HttpMessage call, Duration timeout, HttpClient::Done done);
 
   // Whether the last calls of this node reached the store.
@@ -68,11 +70,15 @@
   Relay m_relay;
   HttpClient m_client;
   std::string m_host;
-  // Relays the call unless a relayed call failed recently. Returns whether it was relayed.
-  bool TryRelay(const HttpMessage& call, HttpClient::Done done);
+  // Relays the call through up to `nodes_left` nodes, unless a relayed call failed recently. Returns whether it was
+  // relayed.
+  bool TryRelay(const HttpMessage& call, HttpClient::Done done, int nodes_left);
+  // Repeats a relayed call directly from time to time, to learn whether the store is reachable again. Only calls that
+  // may be made twice are repeated.
+  void ProbeDirectly(std::string_view kind, const HttpMessage& call, RetryPolicy retry_policy);
 
   bool m_reachable = true;
-  TimePoint m_failed_at;
+  TimePoint m_next_probe_at;
   TimePoint m_relay_paused_until;
   std::map<std::string_view, std::uint64_t> m_calls;  // keys are string literals
   std::uint64_t m_relayed = 0;
--- a/src/mesh_token_client.cc
+++ b/src/mesh_token_client.cc
@@ -9,6 +9,11 @@
 // Interval of token requests while tokens are missing. If a caller's request waits for a token, they are sent at once.
 constexpr Duration kRequestPeriod = std::chrono::milliseconds(200);
 constexpr Duration kRequestTimeout = std::chrono::milliseconds(500);
+// Calls to a node that does not answer are repeated with exponential backoff, so that they do not add to its load.
+constexpr Duration kMinBackoff = std::chrono::milliseconds(100);
+constexpr Duration kMaxBackoff = std::chrono::milliseconds(1600);
+// If a node has not answered for this long, this node admits from its own share of its workspaces' limits.
+constexpr Duration kSourceTimeout = std::chrono::milliseconds(1200);
 constexpr double kMilliPerToken = 1000;
 
 }  // namespace
@@ -16,68 +21,122 @@
 TokenClient::TokenClient(asio::io_context& context,
                          MeshPeers& peers,
                          MeshSession& session,
-                         CoordinatorRole& coordinator,
+                         TokenService& service,
                          MeshLog& log,
                          TokenHolder& holder,
                          std::function<void()> on_tokens)
     : m_context(context),
       m_peers(peers),
       m_session(session),
-      m_coordinator(coordinator),
+      m_service(service),
       m_log(log),
       m_holder(holder),
       m_on_tokens(std::move(on_tokens)) {}
 
-void TokenClient::RequestNow() {
-  m_next_request_at = TimePoint();
-  OnTick(BootClock::now());
+bool TokenClient::IsServed(std::size_t workspace, TimePoint now) const {
+  const std::string& node = m_service.NodeFor(workspace);
+  if (node.empty()) {
+    return false;
+  }
+  const auto source = m_sources.find(node);
+  return source == m_sources.end() || source->second.failing_since == TimePoint() ||
+         now - source->second.failing_since < kSourceTimeout;
+}
+
+bool TokenClient::RequestNow(std::size_t workspace) {
+  const TimePoint now = BootClock::now();
+  Request(now);
+  return IsServed(workspace, now);
 }
 
 void TokenClient::OnTick(TimePoint now) {
+  const TimePoint last_tick = std::exchange(m_last_tick_at, now);
+  if (last_tick != TimePoint()) {
+    m_holder.RefillLocally(now - last_tick, m_session.View().Members().size(),
+                           [&](std::size_t workspace) { return !IsServed(workspace, now); });
+  }
+  if (now >= m_next_request_at) {
+    m_next_request_at = now + kRequestPeriod;
+    Request(now);
+  }
+}
+
+void TokenClient::Request(TimePoint now) {
   const auto config = m_session.View().Config();
-  const auto& coordinator = m_session.View().Coordinator();
-  if (now < m_next_request_at || m_request_in_flight || config == nullptr || !coordinator.has_value()) {
+  if (config == nullptr) {
     return;
   }
-  proto::TokenCall call;
-  call.set_quota_version(static_cast<std::int64_t>(config->version));
-  for (const auto& [workspace, wanted] : m_holder.TokensToRequest(now, m_session.View().Members().size())) {
+  const auto can_request = [&](std::size_t workspace) {
+    const std::string& node = m_service.NodeFor(workspace);
+    if (node.empty()) {
+      return false;
+    }
+    const auto source = m_sources.find(node);
+    return source == m_sources.end() || (!source->second.call_in_flight && now >= source->second.not_before);
+  };
+  std::map<std::string, proto::TokenCall> calls;
+  for (const auto& [workspace, wanted] :
+       m_holder.TokensToRequest(now, m_session.View().Members().size(), can_request)) {
+    proto::TokenCall& call = calls[m_service.NodeFor(workspace)];
+    call.set_quota_version(static_cast<std::int64_t>(config->version));
     proto::TenantDemand* demand = call.add_demands();
     demand->set_tenant(static_cast<std::uint32_t>(workspace));
     demand->set_wanted_milli(static_cast<std::uint32_t>(wanted * kMilliPerToken));
   }
-  m_next_request_at = now + kRequestPeriod;
-  if (call.demands().empty()) {
-    return;
+  for (const auto& [node, call] : calls) {
+    Send(node, call, now);
   }
-  if (m_coordinator.IsCoordinator()) {
-    proto::TokenReply reply;
-    m_coordinator.OnTokenCall(now, call, &reply);
+}
+
+void TokenClient::Send(const std::string& node, const proto::TokenCall& call, TimePoint now) {
+  if (node == m_session.Self().node()) {
+    const proto::TokenReply reply = m_service.OnTokenCall(now, call);
     // Posted, so that OnReply never runs within the admission of a request.
-    asio::post(m_context, [this, call, reply] { OnReply(call, reply); });
+    asio::post(m_context, [this, node, call, reply, now] { OnReply(node, call, reply, now); });
     return;
   }
-  const proto::MeshMember* member = m_session.View().FindMember(coordinator->node());
+  const proto::MeshMember* member = m_session.View().FindMember(node);
   if (member == nullptr) {
     return;
   }
-  m_request_in_flight = true;
+  m_sources[node].call_in_flight = true;
   m_peers.Call(AddressOf(*member), kTokenPath, call.SerializeAsString(), m_no_body, kRequestTimeout,
-               [this, call](const MeshCallResult& result) {
-                 m_request_in_flight = false;
+               [this, node, call, now](const MeshCallResult& result) {
+                 m_sources[node].call_in_flight = false;
                  proto::TokenReply reply;
                  if (result.outcome == MeshCallOutcome::kAnswered && reply.ParseFromString(result.answer.head)) {
-                   OnReply(call, reply);
+                   OnReply(node, call, reply, now);
                  } else {
-                   m_log.Write(LogCategory::kFailure, "tokens_not_given", {{"detail", result.detail}});
+                   OnFailure(node, now, result.detail);
                  }
                });
 }
 
-void TokenClient::OnReply(const proto::TokenCall& call, const proto::TokenReply& reply) {
+void TokenClient::OnFailure(const std::string& node, TimePoint sent, std::string_view detail) {
+  Source& source = m_sources[node];
+  if (source.failing_since == TimePoint()) {
+    source.failing_since = sent;
+  }
+  source.backoff = std::clamp(source.backoff * 2, kMinBackoff, kMaxBackoff);
+  source.not_before = BootClock::now() + source.backoff;
+  m_log.Write(LogCategory::kFailure, "tokens_not_given", {{"node", node}, {"detail", detail}});
+  // Requests that still wait are counted again, so that the next call asks for their tokens.
+  m_on_tokens();
+}
+
+void TokenClient::OnReply(const std::string& node,
+                          const proto::TokenCall& call,
+                          const proto::TokenReply& reply,
+                          TimePoint sent) {
+  if (reply.quota_version() != call.quota_version()) {
+    OnFailure(node, sent, "the node has another configuration or other members");
+    return;
+  }
+  Source& source = m_sources[node];
+  source.failing_since = TimePoint();
+  source.backoff = Duration(0);
   const auto config = m_session.View().Config();
-  if (config == nullptr || reply.quota_version() != static_cast<std::int64_t>(config->version) ||
-      call.quota_version() != reply.quota_version()) {
+  if (config == nullptr || reply.quota_version() != static_cast<std::int64_t>(config->version)) {
     return;
   }
   const TimePoint now = BootClock::now();
--- a/src/mesh_token_client_p.h
+++ b/src/mesh_token_client_p.h
@@ -1,20 +1,20 @@
-// Requests workspace tokens from the coordinator.
+// Requests workspace tokens from the nodes that hand them out.
 
 #ifndef MAGNOLIAARCH_SRC_MESH_TOKEN_CLIENT_P_H_
 #define MAGNOLIAARCH_SRC_MESH_TOKEN_CLIENT_P_H_
 
+#include <asio.hpp>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <string_view>
 
-#include <asio.hpp>
-
-#include "mesh_coordinator_p.h"
 #include "mesh_limits_p.h"
 #include "mesh_log_p.h"
 #include "mesh_peers_p.h"
 #include "mesh_session_p.h"
+#include "mesh_token_service_p.h"
 
 namespace magnoliaarch {
 
@@ -27,29 +27,45 @@
   TokenClient(asio::io_context& context,
               MeshPeers& peers,
               MeshSession& session,
-              CoordinatorRole& coordinator,
+              TokenService& service,
               MeshLog& log,
               TokenHolder& holder,
               std::function<void()> on_tokens);
 
-  // Requests missing tokens if the request period has passed.
+  // Requests missing tokens if the request period has passed. Workspaces whose tokens nobody hands out get this node's
+  // own share.
   void OnTick(TimePoint now);
-  // Requests missing tokens without waiting for the period, because a caller's request waits for them.
-  void RequestNow();
+  // Requests missing tokens without waiting for the period, because a caller's request waits for those of `workspace`.
+  // Returns false if nobody hands out tokens of this workspace, so that waiting is pointless.
+  bool RequestNow(std::size_t workspace);
 
  private:
-  void OnReply(const proto::TokenCall& call, const proto::TokenReply& reply);
+  // A node that hands out tokens, as seen by this node.
+  struct Source {
+    bool call_in_flight = false;
+    TimePoint failing_since;  // when the first call since its last answer was sent; zero: the last call was answered
+    TimePoint not_before;
+    Duration backoff{};
+  };
+
+  void Request(TimePoint now);
+  void Send(const std::string& node, const proto::TokenCall& call, TimePoint now);
+  void OnReply(const std::string& node, const proto::TokenCall& call, const proto::TokenReply& reply, TimePoint sent);
+  void OnFailure(const std::string& node, TimePoint sent, std::string_view detail);
+  // Whether tokens of the workspace can be had from the node that hands them out.
+  bool IsServed(std::size_t workspace, TimePoint now) const;
 
   asio::io_context& m_context;
   MeshPeers& m_peers;
   MeshSession& m_session;
-  CoordinatorRole& m_coordinator;
+  TokenService& m_service;
   MeshLog& m_log;
   TokenHolder& m_holder;
   std::function<void()> m_on_tokens;
   const std::shared_ptr<const std::string> m_no_body = std::make_shared<const std::string>();
+  std::map<std::string, Source> m_sources;  // by node
   TimePoint m_next_request_at;
-  bool m_request_in_flight = false;
+  TimePoint m_last_tick_at;
 };
 
 }  // namespace magnoliaarch
--- a/src/mesh_view.cc
+++ b/src/mesh_view.cc
@@ -3,7 +3,9 @@
 #include <algorithm>
 #include <utility>
 
+#include "magnoliaarch/settings.h"
 #include "mesh_keys_p.h"
+#include "text_p.h"
 
 namespace magnoliaarch {
 namespace {
@@ -11,6 +13,12 @@
 constexpr std::string_view kMemberPrefix = "magnolia/member/";
 constexpr std::string_view kCoordinatorKey = "magnolia/coordinator";
 
+// Whether others can use the record: other writers may have left anything under the key.
+bool IsUsable(const proto::MeshMember& member, std::string_view node) {
+  const bool has_address = !member.ip().empty() || member.peer_port() != 0;
+  return member.node() == node && (!has_address || IsSocketAddress(Cat(member.ip(), ":", member.peer_port())));
+}
+
 }  // namespace
 
 std::string MemberKey(std::string_view node) {
@@ -37,13 +45,23 @@
 }
 
 MeshView::MeshView(const MeshWire& wire, std::function<void(const std::string&, const absl::Status&)> on_unreadable)
-    : m_wire(wire), m_on_unreadable(std::move(on_unreadable)) {}
+    : m_wire(wire), m_operator_prefix(wire.OperatorPrefix()), m_on_unreadable(std::move(on_unreadable)) {}
+
+void MeshView::NoteOperatorChange(const std::string& key, std::int64_t revision) {
+  if (key.starts_with(m_operator_prefix)) {
+    m_operator_revision = std::max(m_operator_revision, revision);
+  }
+}
 
 bool MeshView::Apply(const proto::ViewItem& item) {
+  if (!item.deleted()) {
+    NoteOperatorChange(item.key(), item.revision());
+  }
   return ApplyVersion(item.key(), item.value(), item.revision(), item.deleted(), item.lease());
 }
 
 bool MeshView::Apply(const StoreEvent& event) {
+  NoteOperatorChange(event.kv.key, event.kv.mod_revision);
   return ApplyVersion(event.kv.key, event.kv.value, event.kv.mod_revision, event.deleted, event.kv.lease);
 }
 
@@ -52,6 +70,7 @@
   std::set<std::string> seen;
   for (const StoreKv& kv : range.kvs) {
     seen.insert(kv.key);
+    NoteOperatorChange(kv.key, kv.mod_revision);
     changed = ApplyVersion(kv.key, kv.value, kv.mod_revision, false, kv.lease) || changed;
   }
   std::vector<std::string> missing;
@@ -120,15 +139,18 @@
   if (key.starts_with(kMemberPrefix)) {
     const std::string node = key.substr(kMemberPrefix.size());
     proto::MeshMember member;
+    ++m_membership_sequence;
     if (item.deleted()) {
       m_members.erase(node);
-    } else if (member.ParseFromString(item.value())) {
+    } else if (member.ParseFromString(item.value()) && IsUsable(member, node)) {
       m_members[node] = std::move(member);
     } else {
+      m_members.erase(node);
       m_on_unreadable(key, absl::InvalidArgumentError("the value is not a valid member record"));
     }
   } else if (key == kCoordinatorKey) {
     proto::MeshCoordinator coordinator;
+    ++m_membership_sequence;
     if (item.deleted()) {
       m_coordinator.reset();
     } else if (coordinator.ParseFromString(item.value())) {
@@ -145,6 +167,9 @@
     } else if (UnpackTable(item.value(), &state.table)) {
       m_tables[service] = std::move(state);
     } else {
+      // The last readable table stays in use, under the new revision, so that a plan can replace the record.
+      m_tables[service].revision = item.revision();
+      m_tables[service].unreadable = true;
       m_on_unreadable(key, absl::InvalidArgumentError("the value is not a valid key table"));
     }
   }
--- a/src/mesh_view_p.h
+++ b/src/mesh_view_p.h
@@ -29,6 +29,7 @@
 struct TableState {
   proto::KeyTable table;
   std::int64_t revision = 0;  // 0: there is no record yet
+  bool unreadable = false;    // the record at this revision is not valid; `table` is the last valid one
 
   // Returns the range of a key; null if the key has never been assigned.
   const proto::KeyRange* Find(std::uint32_t key) const;
@@ -63,6 +64,11 @@
   // Number of changes that this replica has applied; independent of the order in which revisions arrive.
   std::uint64_t Sequence() const { return m_sequence; }
   std::vector<proto::ViewItem> ItemsAfterSequence(std::uint64_t sequence) const;
+  // Number of changes of the members and of the coordinator that this replica has applied.
+  std::uint64_t MembershipSequence() const { return m_membership_sequence; }
+  // Store revision of the latest change of the operator's records that this replica has applied. Deletions count only
+  // if the replica knows their revision.
+  std::int64_t OperatorRevision() const { return m_operator_revision; }
 
   std::shared_ptr<const MeshConfig> Config() const { return m_config; }
   bool IsEvacuated(const std::string& domain) const { return m_evacuated.contains(domain); }
@@ -76,14 +82,18 @@
   const TableState* Table(const std::string& service) const;
 
  private:
+  void NoteOperatorChange(const std::string& key, std::int64_t revision);
   bool ApplyVersion(const std::string& key, std::string value, std::int64_t revision, bool deleted, std::int64_t lease);
   void Decode(const std::string& key, const proto::ViewItem& item);
 
   const MeshWire& m_wire;
+  const std::string m_operator_prefix;
   std::function<void(const std::string&, const absl::Status&)> m_on_unreadable;
   std::map<std::string, proto::ViewItem> m_items;
   std::map<std::string, std::uint64_t> m_change_sequences;  // sequence number of each key's last change
   std::uint64_t m_sequence = 0;
+  std::uint64_t m_membership_sequence = 0;
+  std::int64_t m_operator_revision = 0;
   std::int64_t m_revision = 0;
   std::shared_ptr<const MeshConfig> m_config;
   std::set<std::string> m_evacuated;
--- a/tests/mesh_exchange_test.cc
+++ b/tests/mesh_exchange_test.cc
@@ -65,10 +65,11 @@
               *m_wire,
               m_log,
               [this](const HttpMessage& call, Duration timeout, HttpClient::Done done) {
-                if (relay_node == nullptr) {
+                if (relay_nodes.empty()) {
                   return false;
                 }
-                RelayStoreCall(peers, relay_node->Address(), call, timeout, std::move(done));
+                std::rotate(relay_nodes.begin(), relay_nodes.begin() + 1, relay_nodes.end());
+                RelayStoreCall(peers, relay_nodes.back()->Address(), call, timeout, std::move(done));
                 return true;
               }),
         session(m_timers, store, *m_wire, m_log, Self(name), std::chrono::seconds(1), SessionHooks()),
@@ -104,8 +105,8 @@
   }
 
   const std::uint16_t port;
-  TestNode* relay_node = nullptr;  // relays store calls; null: none
-  int rejected_pushes = 0;         // pushes of this node as coordinator that needed the whole table
+  std::vector<TestNode*> relay_nodes;  // relay store calls, each in its turn
+  int rejected_pushes = 0;             // pushes of this node as coordinator that needed the whole table
 
  private:
   static proto::MeshMember Self(const std::string& name) {
@@ -265,7 +266,7 @@
   FakeStore serving(context);
   TestNode refused(context, "refused", refusing.Port());
   TestNode served(context, "served", serving.Port());
-  refused.relay_node = &served;
+  refused.relay_nodes = {&served};
   std::optional<absl::StatusOr<StoreWrite>> written;
   const auto write = [&] {
     written.reset();
@@ -303,6 +304,54 @@
   }
 }
 
+// Guards against losing the lease while the store is silent to a part of the nodes: every 1.5 s a call waited for the
+// store's answer until its time-out, and relaying nodes waited in the same way (large sofia, trouble-1).
+TEST_CASE("a node that the store does not answer keeps its calls short") {
+  asio::io_context context;
+  FakeStore silent(context);
+  silent.status = 0;
+  FakeStore serving(context);
+  TestNode cut(context, "cut", silent.Port());
+  TestNode also_cut(context, "also-cut", silent.Port());
+  TestNode served(context, "served", serving.Port());
+  const auto renewal_time = [&](TestNode& node) {
+    const TimePoint start = BootClock::now();
+    bool renewed = false;
+    node.store.RenewLease(7, [&](const absl::Status&) { renewed = true; });
+    REQUIRE(RunUntil(context, [&] { return renewed; }));
+    return BootClock::now() - start;
+  };
+
+  SECTION("later calls do not wait for the store again") {
+    cut.relay_nodes = {&served};
+    renewal_time(cut);
+    REQUIRE_FALSE(cut.store.IsReachable());
+    for (int i = 0; i < 8; ++i) {
+      RunFor(context, std::chrono::milliseconds(300));
+      CHECK(renewal_time(cut) < std::chrono::milliseconds(400));
+    }
+  }
+  SECTION("a relaying node that does not reach the store either says so at once, and another node is asked") {
+    renewal_time(also_cut);
+    cut.relay_nodes = {&served};
+    renewal_time(cut);
+    cut.relay_nodes = {&also_cut, &served};
+    const std::size_t before = serving.calls.size();
+    CHECK(renewal_time(cut) < std::chrono::milliseconds(400));
+    CHECK(serving.calls.size() == before + 1);
+  }
+  SECTION("the store is used directly again once it answers") {
+    cut.relay_nodes = {&served};
+    renewal_time(cut);
+    silent.status = 200;
+    CHECK(RunUntil(context, [&] {
+      renewal_time(cut);
+      RunFor(context, std::chrono::milliseconds(200));
+      return cut.store.IsReachable();
+    }));
+  }
+}
+
 TEST_CASE("nodes answer reports and synchronization requests") {
   asio::io_context context;
   FakeStore store(context);
--- a/tests/mesh_ingress_test.cc
+++ b/tests/mesh_ingress_test.cc
@@ -90,11 +90,12 @@
       return static_cast<std::uint64_t>(sends.size());
     };
     hooks.cancel = [this](std::uint64_t /*send*/) { ++cancels; };
-    hooks.request_tokens = [this] {
+    hooks.request_tokens = [this](std::size_t) {
       asio::post(context, [this] {
         ingress.Tokens().Add(0, 100);
         ingress.OnTokens();
       });
+      return true;
     };
     return hooks;
   }
--- a/tests/mesh_keys_test.cc
+++ b/tests/mesh_keys_test.cc
@@ -62,6 +62,43 @@
   return {};
 }
 
+// Guards against plans that the store rejects because they have more than its 32 conditions and writes (a failure
+// domain of large sofia, or a herd of lost nodes), and against a table that grows with the square of the number of
+// targets.
+TEST_CASE("the keys of many lost nodes move in plans that the store accepts") {
+  constexpr int kTargets = 113;
+  constexpr int kLost = 62;
+  constexpr std::size_t kMaxTxnEntries = 32;
+  std::vector<KeyTarget> targets;
+  for (int i = 0; i < kTargets; ++i) {
+    targets.push_back(MakeTarget("n" + std::to_string(i)));
+  }
+  KeyPlanner planner;
+  proto::KeyTable table = AssignInitialTable(&planner, targets);
+  const std::vector<KeyTarget> left(targets.begin() + kLost, targets.end());
+  std::set<std::string> lost;
+  for (int i = 0; i < kLost; ++i) {
+    lost.insert(targets[static_cast<std::size_t>(i)].life.node());
+  }
+  const auto owned_by_lost = [&] {
+    return std::count_if(table.ranges().begin(), table.ranges().end(),
+                         [&](const proto::KeyRange& range) { return lost.contains(range.owner().node()); });
+  };
+  int plans = 0;
+  while (owned_by_lost() > 0 && plans < 5) {
+    KeyPlanInput input = MakeInput(1000 + 200 * plans++, left);
+    input.lost_nodes = lost;
+    const KeyPlan plan = planner.Plan(input, table);
+    REQUIRE(plan.changed);
+    CheckCoversAllKeys(plan.table);
+    // One more condition for the table, and one write.
+    CHECK(plan.required_absent.size() + 2 <= kMaxTxnEntries);
+    table = plan.table;
+  }
+  CHECK(owned_by_lost() == 0);
+  CHECK(table.ranges_size() <= kTargets + kLost * 8);
+}
+
 TEST_CASE("the planner assigns every key to one owner") {
   KeyPlanner planner;
   const std::vector<KeyTarget> targets = {MakeTarget("a"), MakeTarget("b"), MakeTarget("c")};
--- a/tests/mesh_limits_test.cc
+++ b/tests/mesh_limits_test.cc
@@ -145,7 +145,7 @@
   holder.SetLimits(At(0), ConfigWithLimit(100, 40), 10);
   int taken = 0;
   for (int ms = 0; ms < 10000; ms += 50) {
-    holder.RefillWithoutCoordinator(At(ms), std::chrono::milliseconds(50), 10);
+    holder.RefillLocally(std::chrono::milliseconds(50), 10);
     while (holder.Take(At(ms), 0)) {
       ++taken;
     }
@@ -154,6 +154,44 @@
   CHECK(taken <= 104);
 }
 
+// Guards against refusing every request while nobody hands out tokens: with more nodes than the burst has requests, no
+// node's share ever reached a whole token (large sofia, after the loss of all hosts).
+TEST_CASE("without token nodes, many nodes together serve a part of a workspace's rate") {
+  constexpr int kNodes = 195;
+  const MeshConfig config = ConfigWithLimit(15, 30);
+  std::vector<TokenHolder> holders;
+  for (int i = 0; i < kNodes; ++i) {
+    holders.emplace_back(static_cast<std::uint64_t>(i) * 7919 + 3);
+    holders.back().SetLimits(At(0), config, kNodes);
+  }
+  std::mt19937 random(9);
+  const auto run = [&](double per_s) {
+    std::vector<int> admitted;
+    for (int ms = 0; ms < 60000; ++ms) {
+      if (ms % 50 == 0) {
+        for (TokenHolder& holder : holders) {
+          holder.RefillLocally(std::chrono::milliseconds(50), kNodes);
+        }
+      }
+      if (std::uniform_real_distribution<>(0, 1000)(random) < per_s && holders[random() % kNodes].Take(At(ms), 0)) {
+        admitted.push_back(ms);
+      }
+    }
+    return admitted;
+  };
+  SECTION("some of the usual demand is served") {
+    CHECK(run(9).size() >= 9 * 60 / 10);
+  }
+  SECTION("demand of ten times the rate stays within the limit") {
+    const std::vector<int> admitted = run(150);
+    for (const int start : admitted) {
+      const auto in_window =
+          std::count_if(admitted.begin(), admitted.end(), [&](int ms) { return ms >= start && ms < start + 5000; });
+      REQUIRE(in_window <= (15 * 5 + 30) * 1.1 + 20);
+    }
+  }
+}
+
 // Guards against exceeding the retry limit of a called service. When a retried request calls that service, the calls
 // count as retries there, so the retries of both services together must stay within one budget. Seen in scale-1 of
 // kamuiwappen, seed 414204855134.
