Hand a stopping target's work over before its longest objective runs out

Cause: a stopping node told the others 2.2 s before the end of its grace that its target takes no more work, whatever the work lasts. Requests that arrived until 1.6 s before the end were cut off by the exit if they took longer; the longest objective of large sofia is 2.1 s. Operators of similar systems saw such cuts.

Change: the hand-over begins so early that a request which arrives until the others know of it has its whole objective left before the exit.

--- a/src/mesh_model.cc
+++ b/src/mesh_model.cc
@@ -1,5 +1,6 @@
 #include "mesh_model_p.h"
 
+#include <algorithm>
 #include <array>
 
 namespace magnoliaarch {
@@ -64,4 +65,19 @@
   return it == services.end() ? nullptr : &it->second;
 }
 
+Duration MeshConfig::LongestObjective(std::string_view service) const {
+  Duration longest(0);
+  for (const auto& [host, routes] : hosts) {
+    for (const MeshRoute& route : routes) {
+      const bool leads_here =
+          std::any_of(route.weighted_services.begin(), route.weighted_services.end(),
+                      [&](const WeightedService& candidate) { return candidate.service == service; });
+      if (leads_here) {
+        longest = std::max(longest, route.objective);
+      }
+    }
+  }
+  return longest;
+}
+
 }  // namespace magnoliaarch
--- a/src/mesh_model_p.h
+++ b/src/mesh_model_p.h
@@ -80,6 +80,8 @@
   // Returns the route with the longest matching path prefix; null if none matches.
   const MeshRoute* FindRoute(std::string_view host, std::string_view path) const;
   const MeshService* FindService(std::string_view name) const;
+  // Longest latency objective of the routes that lead to a service; zero if there are none.
+  Duration LongestObjective(std::string_view service) const;
 };
 
 // Limits from the settings that the node must observe.
--- a/src/mesh_stop.cc
+++ b/src/mesh_stop.cc
@@ -11,9 +11,9 @@
 constexpr Duration kDrainCallersAfter = std::chrono::milliseconds(1900);
 // New requests are refused after this time, because they could outlast the grace period.
 constexpr Duration kRefuseCallersAfter = std::chrono::milliseconds(2700);
-// The target's keys move away when this much of the grace period is left; other nodes know of it kHandOverPropagation
-// later.
-constexpr Duration kHandOverBeforeEnd = std::chrono::milliseconds(2200);
+// The target's keys move away when at least this much of the grace period is left; other nodes know of it
+// kHandOverPropagation later.
+constexpr Duration kMinHandOverBeforeEnd = std::chrono::milliseconds(2200);
 constexpr Duration kHandOverPropagation = std::chrono::milliseconds(600);
 // Part of the grace period that is reserved for the last calls to the store.
 constexpr Duration kStoreCallsBeforeEnd = std::chrono::milliseconds(700);
@@ -21,6 +21,13 @@
 // The node exits in any case when this much of the grace period is left. The margin allows for a slightly late tick.
 constexpr Duration kExitBeforeEnd = std::chrono::milliseconds(250);
 
+// Time before the end of the grace period at which the keys move away, such that requests which arrive until the other
+// nodes know of it have their objective left before the exit.
+Duration HandOverBeforeEnd(Duration grace, Duration longest_work) {
+  const Duration needed = kHandOverPropagation + longest_work + kStoreCallsBeforeEnd;
+  return std::min(std::max(kMinHandOverBeforeEnd, needed), std::max(kMinHandOverBeforeEnd, grace * 3 / 5));
+}
+
 // Returns true only the first time that the step is due.
 bool IsFirstDue(bool due, bool* done) {
   return due && !std::exchange(*done, true);
@@ -39,7 +46,7 @@
   steps.drain_callers = IsFirstDue(elapsed > kDrainCallersAfter && may_close, &m_drained);
   steps.refuse_callers = IsFirstDue(elapsed > kRefuseCallersAfter, &m_refuses_callers);
   // The target keeps serving through this node until the grace period is nearly over, unless it leaves or exits first.
-  if (!m_handed_over_at && (!state.target_accepts || elapsed > grace - kHandOverBeforeEnd)) {
+  if (!m_handed_over_at && (!state.target_accepts || elapsed > grace - HandOverBeforeEnd(grace, state.longest_work))) {
     m_handed_over_at = now;
     steps.hand_over_keys = true;
   }
--- a/src/mesh_stop_p.h
+++ b/src/mesh_stop_p.h
@@ -16,6 +16,7 @@
   bool idle = false;            // no request of a caller or at the target is in progress
   bool store_notified = false;  // the lease was revoked, or its renewal stopped
   bool tick_late = false;       // this tick came late: requests may be waiting unread in sockets
+  Duration longest_work{};      // longest latency objective of the requests at the target
 };
 
 // Steps to take now, in this order.
--- a/tests/mesh_stop_test.cc
+++ b/tests/mesh_stop_test.cc
@@ -74,6 +74,18 @@
     CHECK(times.end - times.refuse_work > 1000);
     CHECK(times.end < 6000);
   }
+  // Guards against requests that are taken late in the grace period and cut off at its end, as seen by the operators of
+  // similar systems. The longest objective of large sofia's ledger is 2.1 s.
+  SECTION("requests that arrive until the target gets no new ones have their objective left before the exit") {
+    for (const int objective_ms : {100, 900, 2100}) {
+      const StepTimes times = RunStop([&](int) {
+        return StopState{true, false, false, false, std::chrono::milliseconds(objective_ms)};
+      });
+      CHECK(times.end - times.refuse_work >= objective_ms);
+      CHECK(times.end < 6000);
+      CHECK(times.hand_over_keys >= 2500);
+    }
+  }
   SECTION("an unreachable store does not delay the exit beyond the grace period") {
     const StepTimes times = RunStop([](int) { return StopState{true, true, false}; }, true);
     CHECK(times.end > 0);
