--- a/tests/mesh_world.py
+++ b/tests/mesh_world.py
@@ -3,6 +3,7 @@
 import http.client
 import http.server
 import json
+import os
 import pathlib
 import random
 import socket
@@ -29,7 +30,8 @@
     """Picks distinct listening ports below the kernel's ephemeral range, so that no outgoing connection can take one before
     the node starts. The kernel may return the same port twice when a socket is bound to port 0 and closed again."""
 
-    LOWEST, HIGHEST = 20000, 32000
+    # MAGNOLIA_TEST_PORTS is LOWEST-HIGHEST, so that cases that run beside each other use different ports.
+    LOWEST, HIGHEST = map(int, os.environ.get("MAGNOLIA_TEST_PORTS", "20000-32000").split("-"))
 
     def __init__(self):
         self.next = random.randrange(self.LOWEST, self.HIGHEST)
