Show the age that the coordinator confirms on the status page

Cause: a replica's age counted from its last store answer. With watches that wait 15 s it can pass the alarm's 5 s in calm. Change: the status page and the gauge take the coordinator's confirmation into account, as the node itself does.

--- a/src/mesh_node.cc
+++ b/src/mesh_node.cc
@@ -567,7 +567,7 @@
     status.ready = IsReady();
     status.is_coordinator = m_coordinator.IsCoordinator();
     status.config_version = m_config_version;
-    status.view_age = std::max(m_session.ReplicaAge(now), Duration(0));
+    status.view_age = std::max(m_session.ConfirmedAge(now), Duration(0));
     status.lease_left = std::max(m_session.AuthorityEnd() - now, Duration(0));
     status.store_reachable = m_store.IsReachable();
     status.store_calls = m_store.Calls();
--- a/src/mesh_session_p.h
+++ b/src/mesh_session_p.h
@@ -4,6 +4,7 @@
 #ifndef MAGNOLIAARCH_SRC_MESH_SESSION_P_H_
 #define MAGNOLIAARCH_SRC_MESH_SESSION_P_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -48,6 +49,8 @@
 
   // Age of the replica: time since it was last known to be complete.
   Duration ReplicaAge(TimePoint now) const { return now - m_synced_at; }
+  // Time since the replica was last known to be complete, or the coordinator last answered that it keeps it so.
+  Duration ConfirmedAge(TimePoint now) const { return std::min(ReplicaAge(now), now - m_coordinator_synced_at); }
   // ReplicaAge in milliseconds as sent in messages, clamped to the range of int32. Start initializes the age to one
   // hour, so the result is at least that until the replica is complete for the first time.
   std::uint32_t ReplicaAgeMs(TimePoint now) const;
