Restart a dead watch at growing distances, and test when it is restarted

Cause: the last change restarted the watch of the operator's records 0.3 s after the coordinator reported a newer change, again and again. A large configuration takes longer than that on a slow link or from a slow store, so that each answer could have been cut off. Change: 1 s, and at least 2, 4 and 8 s between restarts. Measured: the new case opens one watch of 15 s in 4.5 s, a second one within 1.8 s of a change that did not arrive, and at most one more in the 1.2 s after that.

--- a/src/mesh_session.cc
+++ b/src/mesh_session.cc
@@ -34,8 +34,11 @@
 constexpr Duration kConfirmedWatchWait = std::chrono::seconds(15);
 // The coordinator confirms the replicas of the others, so its own must not be old.
 constexpr Duration kCoordinatorWatchWait = std::chrono::milliseconds(1500);
-// A change that the coordinator knows has arrived here within this time, unless the watch is dead.
-constexpr Duration kOperatorChangeDelay = std::chrono::milliseconds(300);
+// A change that the coordinator knows has arrived here within this time, unless the watch is dead. Long enough for a
+// large configuration on a slow link; restarts have a growing distance, so that they cannot cut off each answer.
+constexpr Duration kOperatorChangeDelay = std::chrono::milliseconds(1000);
+constexpr Duration kMinWatchRestartInterval = std::chrono::milliseconds(2000);
+constexpr Duration kMaxWatchRestartInterval = std::chrono::milliseconds(8000);
 constexpr Duration kMaxCoordinatorAge = std::chrono::milliseconds(4500);
 // The watch of the operator's records returns at least this often, also without changes.
 constexpr Duration kOperatorWatchTimeout = std::chrono::milliseconds(4000);
@@ -352,6 +355,7 @@
   if (operator_revision <= std::max(m_view.OperatorRevision(), m_watch_loops[0].after_revision)) {
     m_operator_heard_at = std::max(m_operator_heard_at, now - coordinator_age);
     m_operator_behind_since = TimePoint();
+    m_watch_restart_interval = Duration(0);
   } else if (m_operator_behind_since == TimePoint()) {
     m_operator_behind_since = now;
   }
@@ -359,7 +363,7 @@
 
 void MeshSession::CheckOperatorWatch(TimePoint now) {
   WatchLoop& loop = m_watch_loops[0];
-  if (loop.watch_id == 0) {
+  if (loop.watch_id == 0 || now - loop.opened_at < m_watch_restart_interval) {
     return;
   }
   const bool behind = m_operator_behind_since != TimePoint() && now - m_operator_behind_since > kOperatorChangeDelay;
@@ -367,6 +371,8 @@
       now - loop.opened_at > kOperatorWatchTimeout && now - m_operator_heard_at > kOperatorWatchTimeout;
   if (behind || unconfirmed) {
     m_operator_behind_since = TimePoint();
+    m_watch_restart_interval =
+        std::clamp(m_watch_restart_interval * 2, kMinWatchRestartInterval, kMaxWatchRestartInterval);
     m_log.Write(LogCategory::kState, "watch_restarted", {{"prefix", loop.prefix}, {"behind", behind}});
     RestartWatch(loop);
   }
--- a/src/mesh_session_p.h
+++ b/src/mesh_session_p.h
@@ -129,6 +129,7 @@
   TimePoint m_operator_heard_at;
   // Since when the coordinator has known a change of them that this node has not received; zero: it has received all.
   TimePoint m_operator_behind_since;
+  Duration m_watch_restart_interval{};  // minimum time from the opening of the operator's watch to its restart
   bool m_store_was_reachable = true;
 };
 
--- a/tests/mesh_exchange_test.cc
+++ b/tests/mesh_exchange_test.cc
@@ -28,7 +28,7 @@
         context, options,
         [this](const std::shared_ptr<HttpExchange>& exchange) {
           calls.push_back(exchange->request);
-          if (status == 0) {
+          if (status == 0 || (leaves_watches_open && exchange->request.target.starts_with("/api/kv-watch"))) {
             m_unanswered.push_back(exchange);
             return;
           }
@@ -42,7 +42,19 @@
   }
   std::uint16_t Port() const { return m_server->Port(); }
 
+  // Targets of the watches of the operator's records so far.
+  std::vector<std::string> OperatorWatches() const {
+    std::vector<std::string> targets;
+    for (const HttpMessage& call : calls) {
+      if (call.target.starts_with("/api/kv-watch?path_prefix=op")) {
+        targets.push_back(call.target);
+      }
+    }
+    return targets;
+  }
+
   int status = 200;  // 0: no answer
+  bool leaves_watches_open = false;
   std::string body = R"({"revision":41})";
   std::vector<HttpMessage> calls;
 
@@ -304,6 +316,47 @@
   }
 }
 
+// Guards against a configuration that a node learns only at the end of its watch, now 15 s, when the store's answer was
+// lost (CONFIG), and against watches that end every 3 s (large sofia: half of the priced store calls).
+TEST_CASE("the watch of the operator's records is long, and restarted when it misses a change") {
+  asio::io_context context;
+  FakeStore store(context);
+  store.leaves_watches_open = true;
+  store.body = R"({"lease":5,"ttl_ms":5000,"revision":41,"current_rev":40,"items":[],"events":[],"more_pages":false})";
+  TestNode node(context, "n1", store.Port());
+  node.session.Start();
+  node.session.SetMustWatch(false);
+  const auto run = [&](int ms, std::int64_t operator_revision) {
+    for (int passed = 0; passed < ms; passed += 50) {
+      node.session.OnTick(BootClock::now());
+      if (passed % 400 == 0) {
+        node.session.OnSyncedByCoordinator(BootClock::now(), Duration(0), operator_revision);
+      }
+      RunFor(context, std::chrono::milliseconds(50));
+    }
+  };
+  run(4500, 40);
+  REQUIRE(node.session.IsRegistered());
+  REQUIRE(store.OperatorWatches().size() == 1);
+  CHECK(store.OperatorWatches()[0].find("wait_ms=15000") != std::string::npos);
+  CHECK(node.session.IsOperatorWatchLive(BootClock::now()));
+
+  SECTION("a change that the coordinator knows restarts the watch, but not over and over") {
+    run(1800, 50);
+    CHECK(store.OperatorWatches().size() == 2);
+    run(1200, 50);
+    CHECK(store.OperatorWatches().size() <= 3);
+  }
+  SECTION("without a coordinator the watch is restarted with the short wait") {
+    for (int i = 0; i < 110; ++i) {
+      node.session.OnTick(BootClock::now());
+      RunFor(context, std::chrono::milliseconds(50));
+    }
+    REQUIRE(store.OperatorWatches().size() >= 2);
+    CHECK(store.OperatorWatches()[1].find("wait_ms=3000") != std::string::npos);
+  }
+}
+
 // Guards against losing the lease while the store is silent to a part of the nodes: every 1.5 s a call waited for the
 // store's answer until its time-out, and relaying nodes waited in the same way (large sofia, trouble-1).
 TEST_CASE("a node that the store does not answer keeps its calls short") {
