Push a change again at once in deployments below 100 nodes

Cause: the minimum interval between pushes was 6 ms on 12 nodes. A push that followed another one sooner, or that replaced a rejected patch, waited for the next tick, up to 50 ms, and moved keys waited with it. Found by the case "changes of key tables are pushed ..." (mesh_exchange), which failed in two runs of all unit cases in one process and passed when run alone, where a push takes longer than its interval of 0.5 ms. Change: no interval below 100 nodes, and none after a rejected patch.

--- a/src/mesh_coordinator.cc
+++ b/src/mesh_coordinator.cc
@@ -253,6 +253,7 @@
               return;
             }
             pushed_replica.table_revisions.clear();
+            pushed_replica.next_push_at = TimePoint();
             break;
           case PushOutcome::kUnconfirmed:
             // The node may or may not have applied the push.
--- a/src/mesh_duties.cc
+++ b/src/mesh_duties.cc
@@ -10,6 +10,8 @@
 constexpr int kMaxReportsPerSecond = 200;
 constexpr Duration kMinCoordinatorTimeout = std::chrono::milliseconds(1000);
 constexpr int kMaxPushesPerSecond = 2000;
+// Pushes are retried with this period, so that shorter intervals would be rounded up to it.
+constexpr Duration kShortestPushInterval = std::chrono::milliseconds(50);
 constexpr Duration kSecond = std::chrono::seconds(1);
 // Nodes of each failure domain that watch the store for the others.
 constexpr std::size_t kWatchersPerDomain = 3;
@@ -43,7 +45,8 @@
 }
 
 Duration MinPushInterval(std::size_t nodes) {
-  return kSecond * static_cast<int>(nodes) / kMaxPushesPerSecond;
+  const Duration interval = kSecond * static_cast<int>(nodes) / kMaxPushesPerSecond;
+  return interval < kShortestPushInterval ? Duration(0) : interval;
 }
 
 bool WatchesForDomain(const MeshView& view, const proto::MeshMember& self) {
--- a/src/mesh_duties_p.h
+++ b/src/mesh_duties_p.h
@@ -21,7 +21,7 @@
 // A node that has not heard from the coordinator for this long acts as if there were none.
 Duration CoordinatorTimeout(std::size_t nodes);
 // Minimum time between two pushes of replica changes to the same node, so that the coordinator sends a bounded number
-// of pushes a second.
+// of pushes a second. Zero below 100 nodes, where one push in flight to each node is bound enough.
 Duration MinPushInterval(std::size_t nodes);
 
 // Whether the node is one of those of its failure domain that watch the store for the others while no coordinator keeps
