Name the silent token node in a field of its own

Cause: the log line tokens_not_given named the node that did not answer in the field node, which names the writer of each line, so the line seemed to come from that node. Measured: built; lint of the file and the process case "requests are served during a store outage" were run.

--- a/src/mesh_token_client.cc
+++ b/src/mesh_token_client.cc
@@ -132,7 +132,7 @@
   }
   source.backoff = std::clamp(source.backoff * 2, kMinBackoff, kMaxBackoff);
   source.not_before = BootClock::now() + source.backoff;
-  m_log.Write(LogCategory::kFailure, "tokens_not_given", {{"node", node}, {"detail", detail}});
+  m_log.Write(LogCategory::kFailure, "tokens_not_given", {{"from", node}, {"detail", detail}});
   // Requests that still wait are counted again, so that the next call asks for their tokens.
   m_on_tokens();
 }
