review: a planned stop answers 502 for a request whose body is read late

Cause: the connection to the server has a user time-out of 2 s, which the kernel also applies while the server keeps its window closed. The node then answers itself, although the server is at work.

Case 3 has more clients, so that two successors get keys at once.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -14,7 +14,7 @@
 LEAVING = 2  # of 5 servers
 BETWEEN_LEAVES_S = 5
 OBSERVED_S = 8
-CLIENTS = 8
+CLIENTS = 12
 # The rule counts a tenth of the machines in use, two at least, with three ends each.
 MIN_MACHINES = 2
 MIN_ENDS = 3
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -29,6 +29,7 @@
 HEARTBEAT_S = 0.87
 RESTART_DELAY_S = 0.2  # between the end of a node and its next start by the platform
 SLOTS = 6
+RECEIVE_WINDOW = 65536  # bytes; of the servers' connections
 BOUNDS = {
     "seed_lag_s": 3, "reuse_after_s": 2, "contact_ms": 3000, "ack_ms": 4000, "catch_up_s": 4, "drain_ms": 2000,
     "grace_s": 6, "loss_slack_ms": 200, "config_ms": 2000, "rollback_slack_ms": 250, "max_stretch_ms": 5000,
@@ -144,6 +145,7 @@
         self.spoil_handover = lambda token: token  # applied to the token of each release
         self.answers = 0
         self.on_grant = lambda: None
+        self.pause_in_body_s, self.first_part = 0, 16384  # bytes of a body that are read before the pause
         self.alive = True
         self.connections = set()
         server = self
@@ -175,7 +177,23 @@
                 self.wfile.write(body)
 
             def handle_any(self):
-                server.handle(self, self.rfile.read(int(self.headers.get("Content-Length") or 0)))
+                length = int(self.headers.get("Content-Length") or 0)
+                body = b""
+                if server.pause_in_body_s and length > server.first_part:
+                    # Works on the body as it comes: on the first part at once, on the rest after a while.
+                    server.record.write(f"server {server.id} begins request {self.headers.get('Request-Id')}")
+                    body = self.rfile.read(server.first_part)
+                    time.sleep(server.pause_in_body_s)
+                try:
+                    body += self.rfile.read(length - len(body))
+                except ConnectionError:
+                    pass
+                if len(body) < length:
+                    server.record.write(f"server {server.id} works on request {self.headers.get('Request-Id')} and finds "
+                                        "its connection closed")
+                    self.close_connection = True
+                    return
+                server.handle(self, body)
 
             do_GET = do_POST = do_PUT = do_DELETE = handle_any
 
@@ -183,6 +201,11 @@
             daemon_threads = True
             request_queue_size = 256
 
+            def server_bind(self):
+                # Small windows, so that a server that does not read blocks the writer.
+                self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_WINDOW)
+                super().server_bind()
+
             def handle_error(self, request, client_address):
                 if not isinstance(sys.exc_info()[1], (ConnectionError, TimeoutError)):
                     super().handle_error(request, client_address)
@@ -363,7 +386,7 @@
                 return
             if self.killed:
                 self.killed = False
-                self.deployment.record.write(f"node {self.name} was killed")
+                self.deployment.record.write(f"node {self.name} ended after a signal")
             else:
                 self.ends.append((self.deployment.record.now(), status))
                 self.deployment.record.write(f"node {self.name} ended by itself with status {status}")
@@ -376,6 +399,10 @@
         self.killed = True
         self.process.kill()
 
+    def terminate(self):
+        self.killed = True
+        self.process.terminate()
+
     def status(self):
         return json.loads(call(self.metrics, "GET", "/status")[2])
 
@@ -413,7 +440,7 @@
                           "health_path": "/healthz"},
                          {"name": "ledger", "warmup_s": 3, "warmup_per_s": 12, "max_connections": 130,
                           "health_path": "/healthz"}],
-            "limits": {"max_header_bytes": 16384, "max_body_bytes": 65536, "header_timeout_ms": 3000,
+            "limits": {"max_header_bytes": 16384, "max_body_bytes": 1048576, "header_timeout_ms": 3000,
                        "idle_timeout_ms": 15000},
             "tenants": [{"name": "guild", "api_keys": ["k1"], "rate_per_s": 0, "burst": 0}],
             "virtual_hosts": [{"host": "h.example", "paths": [
@@ -491,7 +518,8 @@
             headers["Shard-Key"] = str(key)
         self.record.write(f"client sends {request_id} {method} /{route}/x key {key} to {node.name}")
         try:
-            status, answer_headers, _ = call(node.outbound, method, f"/{route}/x", headers, body, timeout=3)
+            status, answer_headers, _ = call(node.outbound, method, f"/{route}/x", headers, body,
+                                             timeout=deadline_ms / 1000 + 2)
         except (OSError, http.client.HTTPException) as error:
             self.record.write(f"client gets no answer to {request_id}: {type(error).__name__}")
             return 0, request_id, {}
