Reject heartbeats of another target

Cause: a node took each well-formed heartbeat with a later start for a new life of its own target, also one of another service, and filled missing fields with defaults. The coordinator then gave the keys away at once.

--- a/src/mesh_target.cc
+++ b/src/mesh_target.cc
@@ -451,6 +451,11 @@
     return absl::OkStatus();
   }
   const TargetHeartbeat& heartbeat = call.heartbeat;
+  if (heartbeat.service != m_options.service || heartbeat.address != m_address) {
+    m_log.Write(LogCategory::kFailure, "heartbeat_of_another_target",
+                {{"id", heartbeat.id}, {"service", heartbeat.service}, {"address", heartbeat.address}});
+    return absl::InvalidArgumentError("not a heartbeat of this node's target");
+  }
   const bool same_life = m_heartbeat && m_heartbeat->id == heartbeat.id && m_heartbeat->start_ms == heartbeat.start_ms;
   if (m_heartbeat && !same_life && heartbeat.start_ms < m_heartbeat->start_ms) {
     // A delayed heartbeat: a later life already has the address.
--- a/tests/mesh_odd_entries_test.cc
+++ b/tests/mesh_odd_entries_test.cc
@@ -168,8 +168,9 @@
     HttpMessage call;
     call.method = "PUT";
     call.target = "/api/instances/i-1";
-    call.body = Cat(R"({"address":"10.1.0.5:8403","info":{"service":"desk","slots":)", slots,
-                    R"(},"status":{"state":"ready","seq":)", sequence, R"(,"warmup_left_ms":)", cold, "}}");
+    call.body = Cat(
+        R"({"address":"10.1.0.5:8403","born":1700000000123,"info":{"service":"desk","zone":"z","version":"v",)",
+        R"("slots":)", slots, R"(},"status":{"state":"ready","seq":)", sequence, R"(,"warmup_left_ms":)", cold, "}}");
     return wire->ParseTargetCall(call);
   };
   REQUIRE(heartbeat("5", "1", "0").ok());
--- a/tests/mesh_target_fixture.h
+++ b/tests/mesh_target_fixture.h
@@ -109,6 +109,7 @@
         raw(raw),
         target_server(context),
         raw_target(context),
+        target_port(raw ? raw_target.Port() : target_server.Port()),
         timers(context),
         wire(CreateKvPlatform()),
         log("test"),
@@ -119,7 +120,7 @@
     MeshTargetOptions options;
     options.node = "n1";
     options.ip = "127.0.0.1";
-    options.port = raw ? raw_target.Port() : target_server.Port();
+    options.port = target_port;
     options.service = service;
     options.domain = "z1";
     options.bounds = &bounds;
@@ -145,10 +146,13 @@
     view.Apply(item);
     target.OnViewChanged();
   }
+  // Address of the target, also after it has closed its port.
+  std::string Address() const { return "127.0.0.1:" + std::to_string(target_port); }
   absl::Status SendHeartbeat(std::int64_t start, std::uint64_t sequence, int cold_ms = 0, bool draining = false) {
     TargetCall call;
     call.id = call.heartbeat.id = "t1";
     call.heartbeat.service = service;
+    call.heartbeat.address = Address();
     call.heartbeat.domain = "z1";
     call.heartbeat.start_ms = start;
     call.heartbeat.sequence = sequence;
@@ -240,6 +244,7 @@
   asio::io_context context;
   FakeTarget target_server;
   RawTarget raw_target;
+  std::uint16_t target_port;
   TimerQueue timers;
   std::unique_ptr<MeshWire> wire;
   MeshLog log;
--- a/tests/mesh_target_test.cc
+++ b/tests/mesh_target_test.cc
@@ -362,4 +362,5 @@
 }
 
 }  // namespace
+    call.heartbeat.address = "127.0.0.1:" + std::to_string(options.port);
 }  // namespace magnoliaarch
--- a/tests/mesh_wire_test.cc
+++ b/tests/mesh_wire_test.cc
@@ -1,4 +1,5 @@
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
 
 #include "absl/strings/escaping.h"
 #include "kv_platform.h"
@@ -148,6 +149,23 @@
       CHECK_FALSE(wire->ParseTargetCall(heartbeat).ok());
     }
   }
+  // Guards against a heartbeat of another writer that takes the place of the target's (review/1).
+  SECTION("a heartbeat that lacks a field, or has one of another type, is rejected") {
+    const nlohmann::json complete = nlohmann::json::parse(heartbeat.body);
+    for (const char* path : {"/address", "/born", "/info/service", "/info/zone", "/info/version", "/info/slots",
+                             "/status/state", "/status/seq", "/status/warmup_left_ms"}) {
+      INFO(path);
+      const nlohmann::json::json_pointer field(path);
+      nlohmann::json odd = complete;
+      odd[field] = nlohmann::json::array();
+      heartbeat.body = odd.dump();
+      CHECK_FALSE(wire->ParseTargetCall(heartbeat).ok());
+      odd = complete;
+      odd.at(field.parent_pointer()).erase(field.back());
+      heartbeat.body = odd.dump();
+      CHECK_FALSE(wire->ParseTargetCall(heartbeat).ok());
+    }
+  }
   SECTION("answers are matched to the request and classified") {
     CHECK(wire->ReadTargetAnswer(MakeAnswer(200, "", {{"Request-Id", "r"}}), "r").matches_request);
     CHECK_FALSE(wire->ReadTargetAnswer(MakeAnswer(200, "", {{"Request-Id", "other"}}), "r").matches_request);
