--- a/tests/mesh_odd_entries_test.cc
+++ b/tests/mesh_odd_entries_test.cc
@@ -186,6 +186,19 @@
     CHECK(call->heartbeat.cold_left > std::chrono::hours(1));
     CHECK(BootClock::now() + call->heartbeat.cold_left > BootClock::now());
   }
+  // Guards against the end of the process: the answer repeated the unreadable bytes, and its serialization threw
+  // (review/2).
+  SECTION("a heartbeat that is not valid UTF-8 gets an answer") {
+    HttpMessage call;
+    call.method = "PUT";
+    call.target = "/api/instances/i-1";
+    for (const char* body : {"{\"address\":\"\xe9\"", "\xff", "{\"\xc3\":1}", "\xed\xa0\x80"}) {
+      call.body = body;
+      const auto parsed = wire->ParseTargetCall(call);
+      REQUIRE_FALSE(parsed.ok());
+      CHECK(wire->TargetCallAnswer(parsed.status()).status == 400);
+    }
+  }
   SECTION("a configuration that is nested too deep is rejected") {
     CHECK_FALSE(wire->ParseConfig(Nested(kDeep)).ok());
   }
