Count all tokens of a workspace against its burst

Cause: the pool, the nodes' reserves, each takeover of the pool and the shares of nodes out of touch were each bounded by the limit; their sum was not. A node that lost and regained the coordinator's role got a third of the burst each time.

Change: the pool counts tokens handed out in the last second as held and refills only up to the rest of the burst; a takeover begins with a tenth of the burst and never with more than the node had left; the pool refills at the share of the nodes in touch with it; a node out of touch collects at most half of its part.

--- a/src/mesh_limits.cc
+++ b/src/mesh_limits.cc
@@ -16,6 +16,11 @@
 // and leave none for the nodes that have requests.
 constexpr double kMinReserveTokens = 2;
 constexpr double kMaxReserveShareOfBurst = 0.35;
+// Share of the burst that a pool may hold even if the nodes hold the rest.
+constexpr double kMinPoolShareOfBurst = 0.5;
+// Share of its part of the burst up to which a node adds tokens itself, but one token at least. The nodes that still
+// have a pool can use the whole burst in the meantime.
+constexpr double kLocalShareOfBurst = 0.5;
 // Time constant of the average demand, in seconds.
 constexpr double kDemandDecayS = 1.0;
 // A node gets at most this many equal shares of the pool per request, so that tokens are left for other nodes.
@@ -32,10 +37,11 @@
 void TokenPool::SetLimits(TimePoint now, const MeshConfig& config) {
   std::vector<Bucket> buckets;
   for (const MeshWorkspace& workspace : config.workspaces) {
-    Bucket bucket{workspace.name, workspace.rate, workspace.burst, workspace.burst * m_initial_fill, now};
+    Bucket bucket{workspace.name, workspace.rate, workspace.burst, workspace.burst * m_initial_fill, 0, now};
     for (const Bucket& old : m_buckets) {
       if (old.name == workspace.name) {
         bucket.tokens = std::min(old.tokens, workspace.burst);
+        bucket.held_by_nodes = old.held_by_nodes;
         bucket.updated_at = old.updated_at;
       }
     }
@@ -46,14 +52,30 @@
 
 void TokenPool::Reset(TimePoint now, std::size_t workspace) {
   if (workspace < m_buckets.size()) {
-    m_buckets[workspace].tokens = m_buckets[workspace].burst * m_initial_fill;
-    m_buckets[workspace].updated_at = now;
+    Bucket& bucket = m_buckets[workspace];
+    Refill(now, &bucket);
+    bucket.tokens = std::min(bucket.tokens, bucket.burst * m_initial_fill);
+  }
+}
+
+void TokenPool::SetShareInTouch(TimePoint now, double share) {
+  if (share == m_share_in_touch) {
+    return;
+  }
+  for (Bucket& bucket : m_buckets) {
+    Refill(now, &bucket);
   }
+  m_share_in_touch = share;
 }
 
-void TokenPool::Refill(TimePoint now, Bucket* bucket) {
-  bucket->tokens = std::min(bucket->burst, bucket->tokens + bucket->rate * Seconds(now - bucket->updated_at));
+void TokenPool::Refill(TimePoint now, Bucket* bucket) const {
+  const double elapsed = Seconds(now - bucket->updated_at);
   bucket->updated_at = now;
+  // Nodes hold tokens for kTokenReserveS of their demand and return the others.
+  bucket->held_by_nodes *= std::exp(-elapsed / kTokenReserveS);
+  const double room = std::max(bucket->burst - bucket->held_by_nodes, bucket->burst * kMinPoolShareOfBurst);
+  const double refilled = bucket->tokens + bucket->rate * m_share_in_touch * elapsed;
+  bucket->tokens = std::max(bucket->tokens, std::min(room, refilled));
 }
 
 void TokenPool::Return(TimePoint now, std::size_t workspace, double tokens) {
@@ -61,6 +83,7 @@
     Bucket& bucket = m_buckets[workspace];
     Refill(now, &bucket);
     bucket.tokens = std::min(bucket.burst, bucket.tokens + tokens);
+    bucket.held_by_nodes = std::max(0.0, bucket.held_by_nodes - tokens);
   }
 }
 
@@ -77,6 +100,8 @@
     return 0;
   }
   bucket.tokens -= given;
+  // The first token is usually for a request that waits for it, so the node does not hold it.
+  bucket.held_by_nodes += given - 1;
   return given;
 }
 
@@ -204,9 +229,10 @@
   for (std::size_t i = 0; i < m_workspace_tokens.size(); ++i) {
     WorkspaceTokens& state = m_workspace_tokens[i];
     if (state.rate > 0 && selects(i)) {
-      state.fractions_admit = state.burst < node_count;
-      state.tokens = std::min(state.tokens + state.rate * Seconds(elapsed) / node_count,
-                              std::max(state.tokens, state.burst / node_count));
+      const double part = state.burst / node_count;
+      const double most = std::max(kLocalShareOfBurst * part, std::min(part, 1.0));
+      state.fractions_admit = part < 1;
+      state.tokens = std::min(state.tokens + state.rate * Seconds(elapsed) / node_count, std::max(state.tokens, most));
     }
   }
 }
--- a/src/mesh_limits_p.h
+++ b/src/mesh_limits_p.h
@@ -18,16 +18,20 @@
 
 namespace magnoliaarch {
 
-// Hands out the tokens of each workspace to the nodes that request them. The tokens handed out stay
-// within rate and burst in total, so the nodes together cannot exceed the limit.
+// Hands out the tokens of each workspace to the nodes that request them. The tokens in the pool and those that nodes
+// hold stay within the burst in total, and the pool refills at the rate, so the nodes together cannot exceed the limit.
 class TokenPool {
  public:
   // `initial_fill`: share of the burst that a new pool starts with. A new coordinator does not know what its
   // predecessor has handed out.
   explicit TokenPool(double initial_fill) : m_initial_fill(initial_fill) {}
   void SetLimits(TimePoint now, const MeshConfig& config);
-  // Sets a workspace's tokens to the initial fill, when this pool takes it over from another.
+  // Reduces a workspace's tokens to the initial fill, when this pool takes it over from another. A pool that only lost
+  // the workspace for a moment keeps what it had left.
   void Reset(TimePoint now, std::size_t workspace);
+  // Share of the nodes that can request tokens from this pool, from 0 to 1. The pool refills at this share of each
+  // rate, because the other nodes admit requests from their own shares.
+  void SetShareInTouch(TimePoint now, double share);
   // Takes back tokens that a node did not use.
   void Return(TimePoint now, std::size_t workspace, double tokens);
   // Takes up to `wanted` tokens for one of `nodes` nodes. Returns the number taken.
@@ -39,10 +43,12 @@
     double rate = 0;
     double burst = 0;
     double tokens = 0;
+    double held_by_nodes = 0;  // estimate: tokens handed out that are neither used nor returned
     TimePoint updated_at;
   };
-  static void Refill(TimePoint now, Bucket* bucket);
+  void Refill(TimePoint now, Bucket* bucket) const;
   double m_initial_fill;
+  double m_share_in_touch = 1;
   std::vector<Bucket> m_buckets;  // by position in the configuration
 };
 
--- a/src/mesh_node.cc
+++ b/src/mesh_node.cc
@@ -465,6 +465,8 @@
       if (!error) {
         Tick();
       }
+    m_token_service.SetShareInTouch(
+        now, m_coordinator.IsCoordinator() ? m_coordinator.ShareInTouch(now) : m_token_client.ShareInTouch(now));
     });
   }
 
--- a/src/mesh_token_client.cc
+++ b/src/mesh_token_client.cc
@@ -41,8 +41,23 @@
     return false;
   }
   const auto source = m_sources.find(node);
-  return source == m_sources.end() || source->second.failing_since == TimePoint() ||
-         now - source->second.failing_since < kSourceTimeout;
+  return source == m_sources.end() || !IsFailing(source->second, now);
+}
+
+bool TokenClient::IsFailing(const Source& source, TimePoint now) {
+  return source.failing_since != TimePoint() && now - source.failing_since >= kSourceTimeout;
+}
+
+double TokenClient::ShareInTouch(TimePoint now) const {
+  int known = 1;
+  int in_touch = 1;
+  for (const auto& [node, source] : m_sources) {
+    if (node != m_session.Self().node() && m_session.View().FindMember(node) != nullptr) {
+      ++known;
+      in_touch += IsFailing(source, now) ? 0 : 1;
+    }
+  }
+  return static_cast<double>(in_touch) / known;
 }
 
 bool TokenClient::RequestNow(std::size_t workspace) {
--- a/src/mesh_token_client_p.h
+++ b/src/mesh_token_client_p.h
@@ -38,6 +38,8 @@
   // Requests missing tokens without waiting for the period, because a caller's request waits for those of `workspace`.
   // Returns false if nobody hands out tokens of this workspace, so that waiting is pointless.
   bool RequestNow(std::size_t workspace);
+  // Share of the nodes that hand out tokens, this one included, whose answers reach this node; from 0 to 1.
+  double ShareInTouch(TimePoint now) const;
 
  private:
   // A node that hands out tokens, as seen by this node.
@@ -54,6 +56,7 @@
   void OnFailure(const std::string& node, TimePoint sent, std::string_view detail);
   // Whether tokens of the workspace can be had from the node that hands them out.
   bool IsServed(std::size_t workspace, TimePoint now) const;
+  static bool IsFailing(const Source& source, TimePoint now);
 
   asio::io_context& m_context;
   MeshPeers& m_peers;
--- a/src/mesh_token_service.cc
+++ b/src/mesh_token_service.cc
@@ -5,9 +5,9 @@
 namespace magnoliaarch {
 namespace {
 
-// Initial share of the burst in a pool; a node that takes over a workspace does not know what its predecessor handed
-// out.
-constexpr double kInitialPoolFill = 0.35;
+// Initial share of the burst in a pool. A node that takes over a workspace does not know what its predecessor handed
+// out, and several nodes may take it over one after another.
+constexpr double kInitialPoolFill = 0.1;
 constexpr double kMilliPerToken = 1000;
 
 }  // namespace
--- a/src/mesh_token_service_p.h
+++ b/src/mesh_token_service_p.h
@@ -21,6 +21,8 @@
 
   // Follows changes of the members, the coordinator and the limits.
   void OnViewChanged(TimePoint now);
+  // Share of the nodes that can reach this node, from 0 to 1.
+  void SetShareInTouch(TimePoint now, double share) { m_pool.SetShareInTouch(now, share); }
   // Answers a node's request for tokens. An answer without a version says that the configurations differ, or that this
   // node is not responsible for a workspace of the request.
   proto::TokenReply OnTokenCall(TimePoint now, const proto::TokenCall& call);
