End only the work of a handler that throws

Change: a request's handler that throws closes the caller's connection, one of a message between nodes closes that connection, a timer task or tick ends alone, and the event loop goes on. unexpected_error and magnolia_mesh_unexpected_errors_total say that it happened.

--- a/src/h2_session.cc
+++ b/src/h2_session.cc
@@ -456,6 +456,7 @@
       break;  // no data, or an end of the connection that the next read reports
     }
     consumed = process();
+  bool failed = false;
   }
   return consumed;
 }
@@ -464,28 +465,42 @@
   while (!m_events.empty()) {
     auto events = std::exchange(m_events, {});
     for (Event& event : events) {
-      switch (event.kind) {
-        case Event::Kind::kMessage:
-          m_last_use = BootClock::now();
-          if (m_hooks.on_message) {
-            m_hooks.on_message(event.stream, std::move(event.message));
-          }
-          break;
-        case Event::Kind::kFailed:
-          if (m_hooks.on_failed) {
-            m_hooks.on_failed(event.stream, event.failure, event.detail);
-          }
-          break;
-        case Event::Kind::kCancelled:
-          if (m_hooks.on_cancelled) {
-            m_hooks.on_cancelled(event.stream);
-          }
-          break;
-        case Event::Kind::kGoAway:
-          if (m_hooks.on_goaway) {
-            m_hooks.on_goaway();
-          }
-          break;
+      try {
+        Dispatch(event);
+      } catch (const std::exception& error) {
+        failed = true;
+        if (m_hooks.on_error) {
+  if (failed) {
+    Close("a message could not be handled");
+  }
+}
+
+void H2Session::Dispatch(Event& event) {
+  switch (event.kind) {
+    case Event::Kind::kMessage:
+      m_last_use = BootClock::now();
+      if (m_hooks.on_message) {
+        m_hooks.on_message(event.stream, std::move(event.message));
+      }
+      break;
+    case Event::Kind::kFailed:
+      if (m_hooks.on_failed) {
+        m_hooks.on_failed(event.stream, event.failure, event.detail);
+      }
+      break;
+    case Event::Kind::kCancelled:
+      if (m_hooks.on_cancelled) {
+        m_hooks.on_cancelled(event.stream);
+      }
+      break;
+    case Event::Kind::kGoAway:
+      if (m_hooks.on_goaway) {
+        m_hooks.on_goaway();
+      }
+      break;
+  }
+          m_hooks.on_error(error.what());
+        }
       }
     }
   }
--- a/src/h2_session_p.h
+++ b/src/h2_session_p.h
@@ -47,6 +47,8 @@
 struct H2SessionHooks {
   std::function<void(std::int32_t stream, H2Message message)> on_message;
   // Client: a stream ended without a response.
+  // Another hook has thrown; the connection is closed next.
+  std::function<void(std::string_view what)> on_error;
   std::function<void(std::int32_t stream, H2Failure failure, const std::string& detail)> on_failed;
   // Server: the client cancelled a stream before its response was sent.
   std::function<void(std::int32_t stream)> on_cancelled;
@@ -170,6 +172,7 @@
   // nghttp2 error code after a protocol error.
   ssize_t ProcessInput(std::size_t bytes);
   void ScheduleFlush();
+  void Dispatch(Event& event);
   void Flush();
   // Server: shuts down the send direction and reads until the peer closes, because closing with unread input would make
   // the kernel reset the connection and discard the last responses. Client: closes the connection.
--- a/src/http1_p.h
+++ b/src/http1_p.h
@@ -124,6 +124,8 @@
   Duration header_timeout = std::chrono::seconds(3);
   Duration idle_timeout = std::chrono::seconds(60);
   std::size_t max_connections = 2000;
+  // The request handler has thrown; the caller's connection is closed. May be null.
+  std::function<void(std::string_view what)> on_error{};
 };
 
 // Not thread-safe: runs on the io_context's thread.
@@ -156,6 +158,8 @@
   friend class Http1Connection;
   void Accept();
   void Serve(asio::ip::tcp::socket socket);
+  // Passes a request to its handler. Returns false if the handler has thrown.
+  bool Handle(const std::shared_ptr<HttpExchange>& exchange);
 
   Http1ServerOptions m_options;
   OnRequest m_on_request;
--- a/src/http1_server.cc
+++ b/src/http1_server.cc
@@ -179,7 +179,10 @@
       return;
     }
     for (const std::shared_ptr<HttpExchange>& exchange : std::exchange(m_new_exchanges, {})) {
-      m_server->m_on_request(exchange);
+      if (!m_server->Handle(exchange)) {
+        Close();
+        return;
+      }
     }
     if (!parsed && m_parser.GetError() != Http1Parser::Error::kNone) {
       AnswerParseError();
@@ -307,6 +310,18 @@
   connection->Read();
 }
 
+bool Http1Server::Handle(const std::shared_ptr<HttpExchange>& exchange) {
+  try {
+    m_on_request(exchange);
+    return true;
+  } catch (const std::exception& error) {
+    if (m_options.on_error) {
+      m_options.on_error(error.what());
+    }
+    return false;
+  }
+}
+
 void Http1Server::SetLimits(Http1Parser::Limits limits, Duration header_timeout, Duration idle_timeout) {
   m_options.limits = limits;
   m_options.header_timeout = header_timeout;
--- a/src/mesh_node.cc
+++ b/src/mesh_node.cc
@@ -8,6 +8,7 @@
 
 #include <fmt/format.h>
 
+#include "absl/cleanup/cleanup.h"
 #include "http1_p.h"
 #include "magnoliaarch/metrics.h"
 #include "mesh_coordinator_p.h"
@@ -112,7 +113,7 @@
     WaitForSignal();
     m_session.Start();
     Tick();
-    m_context.run();
+    RunEventLoop();
     m_log.Write(LogCategory::kState, "stopped", {{"cut", m_requests_cut}});
     m_log.Flush();
     return 0;
@@ -121,8 +122,9 @@
  private:
   // ---- Construction ----
 
-  static Http1ServerOptions ServerOptions(const SocketAddress& address) {
+  Http1ServerOptions ServerOptions(const SocketAddress& address) {
     Http1ServerOptions options;
+    options.on_error = [this](std::string_view what) { OnUnexpectedError("request", what); };
     options.ip = address.ip;
     options.port = address.port;
     return options;
@@ -169,6 +171,7 @@
     };
     hooks.on_abandoned = [this](std::uint64_t call) { m_target.Abandon(call); };
     hooks.on_silent = [this](const PeerSilence& silence) { OnPeerSilent(silence); };
+    hooks.on_error = [this](std::string_view what) { OnUnexpectedError("peer", what); };
     return hooks;
   }
 
@@ -429,7 +432,27 @@
 
   // ---- Time ----
 
+  // A handler that throws ends only its own work: its connection if it has one.
+  void RunEventLoop() {
+    while (!m_context.stopped()) {
+      try {
+        m_context.run();
+      } catch (const std::exception& error) {
+        OnUnexpectedError("event", error.what());
+      }
+    }
+  }
+
+  void OnUnexpectedError(std::string_view handler, std::string_view what) {
+    m_log.Write(LogCategory::kFailure, "unexpected_error", {{"handler", handler}, {"what", what}});
+    m_metrics
+        .GetCounter("magnolia_mesh_unexpected_errors_total", "Handlers of events that ended with an exception.",
+                    {{"handler", std::string(handler)}})
+        .Add();
+  }
+
   void Tick() {
+    const absl::Cleanup arm = [this] { ArmTick(); };
     const TimePoint now = BootClock::now();
     const Duration since_last = m_last_tick_at == TimePoint() ? Duration(0) : now - m_last_tick_at;
     if (since_last > kStallThreshold) {
@@ -442,6 +465,8 @@
     m_peers.OnTick(now);
     m_reports.OnTick(now);
     m_token_client.OnTick(now);
+    m_token_service.SetShareInTouch(
+        now, m_coordinator.IsCoordinator() ? m_coordinator.ShareInTouch(now) : m_token_client.ShareInTouch(now));
     if (now - m_last_slow_tick_at > std::chrono::milliseconds(500)) {
       m_last_slow_tick_at = now;
       for (Http1Server* server : {&m_caller_server, &m_readiness_server, &m_registration_server, &m_metrics_server}) {
@@ -457,16 +482,17 @@
       }
     }
     m_last_tick_at = now;
-    if (m_stop.Begun() && AdvanceStop(now, since_last > kLateTick)) {
-      return;
+    if (m_stop.Begun()) {
+      AdvanceStop(now, since_last > kLateTick);
     }
+  }
+
+  void ArmTick() {
     m_tick_timer.expires_after(kTickPeriod);
     m_tick_timer.async_wait([this](const asio::error_code& error) {
       if (!error) {
         Tick();
       }
-    m_token_service.SetShareInTouch(
-        now, m_coordinator.IsCoordinator() ? m_coordinator.ShareInTouch(now) : m_token_client.ShareInTouch(now));
     });
   }
 
@@ -482,12 +508,12 @@
       if (error) {
         return;
       }
+      const absl::Cleanup wait = [this] { WaitForSignal(); };
       if (number == SIGHUP) {
         Reload();
       } else {
         BeginStop(number);
       }
-      WaitForSignal();
     });
   }
 
@@ -520,8 +546,7 @@
     m_coordinator.Resign();
   }
 
-  // Returns whether the event loop was stopped.
-  bool AdvanceStop(TimePoint now, bool tick_late) {
+  void AdvanceStop(TimePoint now, bool tick_late) {
     StopState state;
     state.tick_late = tick_late;
     state.target_accepts = m_target.Report(now).accepts();
@@ -558,7 +583,6 @@
       m_requests_cut = m_ingress.InProgress() + m_target.InProgress();
       m_context.stop();
     }
-    return steps.end;
   }
 
   NodeStatus CurrentStatus() const {
--- a/src/mesh_peers.cc
+++ b/src/mesh_peers.cc
@@ -150,6 +150,7 @@
       const std::uint64_t id = call->second;
       it->second.streams.erase(call);
       m_hooks.on_abandoned(id);
+  hooks.on_error = m_hooks.on_error;
     }
   };
   hooks.on_cancelled = abandon;
@@ -243,6 +244,7 @@
   hooks.on_message = [this, take_call, id](std::int32_t stream, H2Message message) {
     if (const std::uint64_t call = take_call(stream)) {
       CompleteCall(call, MeshCallResult{MeshCallOutcome::kAnswered, std::move(message), {}});
+  hooks.on_error = m_hooks.on_error;
       CloseIfUnused(id);
     }
   };
--- a/src/mesh_peers_p.h
+++ b/src/mesh_peers_p.h
@@ -74,6 +74,8 @@
 
 class MeshPeers {
  public:
+    // Another hook, or the `done` of a call, has thrown; its connection is closed. May be null.
+    std::function<void(std::string_view what)> on_error;
   using Done = std::function<void(MeshCallResult)>;
   using SilenceCallback = std::function<void()>;
   using Reply = std::function<void(MessageHead head, std::string body)>;
--- a/src/mesh_timer_p.h
+++ b/src/mesh_timer_p.h
@@ -10,6 +10,7 @@
 #include <unordered_map>
 #include <utility>
 
+#include "absl/cleanup/cleanup.h"
 #include "magnoliaarch/types.h"
 
 namespace magnoliaarch {
@@ -60,13 +61,14 @@
 
   void Run() {
     m_armed = false;
+    // Also if a task throws, so that the tasks after it still run.
+    const absl::Cleanup arm = [this] { Arm(); };
     const TimePoint now = BootClock::now();
     while (!m_tasks.empty() && m_tasks.begin()->first.first <= now) {
       auto node = m_tasks.extract(m_tasks.begin());
       m_times.erase(node.key().second);
       node.mapped()();
     }
-    Arm();
   }
 
   asio::steady_timer m_timer;
