Report a restarted target only when no earlier grant can be in force

Cause: a grant takes effect at the life that has the address when it arrives. The node inferred from the last heartbeat's time that none had reached the next life, but heartbeats arrive late; and a restarted node took a first heartbeat as proof that its earlier run had granted nothing.

Change: a new life waits while any grant may be in force, unless its former life's end was seen. A node that starts waits for its earlier run's grants, unless the key table says that it owns no keys or that this life owns them. A late heartbeat of the former life doesn't end the wait.

Two sections of tests/mesh_target_test.cc asserted the wrong inference: that a new life is taken at once if nothing was granted since the last heartbeat, and that it frees the keys of the node's earlier run.

--- a/src/mesh_grants.cc
+++ b/src/mesh_grants.cc
@@ -65,10 +65,10 @@
       m_hooks(std::move(hooks)),
       m_earlier_run_grants_lapse_at(LapseAfter(BootClock::now(), kGrantDuration)) {}
 
-void KeyGrants::BeginLife(const proto::TargetLife& life, bool started_in_this_run) {
+void KeyGrants::BeginLife(const proto::TargetLife& life, bool none_of_earlier_run) {
   m_life = life;
   ++m_life_number;
-  if (started_in_this_run) {
+  if (none_of_earlier_run) {
     m_earlier_run_grants_lapse_at = TimePoint();
   }
   m_grants.clear();
@@ -255,7 +255,6 @@
     return;
   }
   grant.call_pending = true;
-  m_last_grant_sent_at = now;
   grant.lapses_at = std::max(grant.lapses_at, LapseAfter(now, hold));
   const std::uint64_t grant_number = ++m_last_grant_number;
   m_unanswered_grants.push_back(UnansweredGrant{grant_number, grant.first, grant.last, LapseAfter(now, hold)});
--- a/src/mesh_grants_p.h
+++ b/src/mesh_grants_p.h
@@ -47,9 +47,9 @@
   // restarted may still be valid.
   KeyGrants(HttpClient& client, const MeshWire& wire, MeshLog& log, std::string address, KeyGrantsHooks hooks);
 
-  // A new life (one run of the target process) has begun; the target holds no keys. `started_in_this_run`: the target
-  // started after this node did, so that no earlier run of this node has granted it keys.
-  void BeginLife(const proto::TargetLife& life, bool started_in_this_run);
+  // A new life (one run of the target process) has begun, and the target holds no keys that this run of the node has
+  // granted. `none_of_earlier_run`: nor any that an earlier run of the node has granted.
+  void BeginLife(const proto::TargetLife& life, bool none_of_earlier_run);
   // Forgets all grants, because the target process has ended.
   void Clear();
 
@@ -64,7 +64,6 @@
 
   // Whether the target may still hold keys under grants of this node or of an earlier run of it.
   bool MayHoldKeys(TimePoint now) const;
-  TimePoint LastGrantSentAt() const { return m_last_grant_sent_at; }
   // First and last key of each granted range.
   std::vector<std::pair<std::uint32_t, std::uint32_t>> GrantedRanges() const;
 
@@ -134,7 +133,6 @@
   std::vector<UnansweredGrant> m_unanswered_grants;
   std::vector<PossibleHold> m_possible_holds;
   std::uint64_t m_last_grant_number = 0;
-  TimePoint m_last_grant_sent_at;
 };
 
 }  // namespace magnoliaarch
--- a/src/mesh_target.cc
+++ b/src/mesh_target.cc
@@ -34,8 +34,7 @@
 // Minimum time between immediate reports of an overloaded target.
 constexpr Duration kOverloadReportInterval = std::chrono::milliseconds(200);
 constexpr double kOfferedDecayS = 1.5;
-// Sequence of the first heartbeat of a life (one run of the target process). An earlier run of this node cannot have
-// known such a life or granted it keys.
+// Sequence of the first heartbeat of a life (one run of the target process).
 constexpr std::uint64_t kFirstSequence = 1;
 // HTTP status of a target that does not hold the request's key or is not the addressed one.
 constexpr int kMisdirected = 421;
@@ -457,7 +456,8 @@
     return absl::InvalidArgumentError("not a heartbeat of this node's target");
   }
   const bool same_life = m_heartbeat && m_heartbeat->id == heartbeat.id && m_heartbeat->start_ms == heartbeat.start_ms;
-  if (m_heartbeat && !same_life && heartbeat.start_ms < m_heartbeat->start_ms) {
+  const bool before_deferred = m_deferred_start && heartbeat.start_ms < m_deferred_start->heartbeat.start_ms;
+  if (before_deferred || (m_heartbeat && !same_life && heartbeat.start_ms < m_heartbeat->start_ms)) {
     // A delayed heartbeat: a later life already has the address.
     m_log.Write(LogCategory::kState, "beat_ignored", {{"id", heartbeat.id}, {"start_ms", heartbeat.start_ms}});
     return absl::OkStatus();
@@ -465,7 +465,7 @@
   if (same_life && heartbeat.sequence <= m_heartbeat->sequence) {
     return absl::OkStatus();
   }
-  if (!same_life && MayHoldKeysOfEarlierLife(BootClock::now())) {
+  if (!same_life && MayHoldKeysOfAnotherLife(heartbeat, BootClock::now())) {
     if (!m_deferred_start) {
       m_log.Write(LogCategory::kState, "target_start_waits", {{"id", heartbeat.id}, {"start_ms", heartbeat.start_ms}});
       m_hooks.on_changed();
@@ -480,7 +480,6 @@
   }
   const bool was_down = m_ended || m_silent || m_unconfirmed;
   m_heartbeat = heartbeat;
-  m_last_heartbeat_at = BootClock::now();
   m_ended = false;
   m_silent = false;
   m_unconfirmed = false;
@@ -503,8 +502,45 @@
   return absl::OkStatus();
 }
 
-bool MeshTarget::MayHoldKeysOfEarlierLife(TimePoint now) const {
-  return m_heartbeat && !m_ended && m_grants.LastGrantSentAt() > m_last_heartbeat_at && MayHoldKeys(now);
+// A grant takes effect at the life that has the address when it arrives. Heartbeats may arrive late, so they do not
+// tell which life that was.
+bool MeshTarget::MayHoldKeysOfAnotherLife(const TargetHeartbeat& heartbeat, TimePoint now) const {
+  if (m_heartbeat) {
+    return !m_ended && MayHoldKeys(now);
+  }
+  // Grants that an earlier run of this node sent before the life of this heartbeat was known.
+  const auto config = m_hooks.view().Config();
+  const MeshService* service = config != nullptr ? config->FindService(m_options.service) : nullptr;
+  if (service != nullptr && !service->sharded) {
+    return false;
+  }
+  return m_grants.MayHoldKeys(now) && MayOwnKeys(now, &heartbeat);
+}
+
+// Whether the key table may name this node as an owner, other than in the life `except` if that is not null. Until the
+// replica is known to be recent, it may.
+bool MeshTarget::MayOwnKeys(TimePoint now, const TargetHeartbeat* except) const {
+  if (m_hooks.authority_end() <= now) {
+    return true;
+  }
+  const TableState* table = m_hooks.view().Table(m_options.service);
+  return table != nullptr &&
+         std::any_of(table->table.ranges().begin(), table->table.ranges().end(), [&](const proto::KeyRange& range) {
+           const proto::TargetLife& owner = range.owner();
+           return owner.node() == m_options.node &&
+                  (except == nullptr || owner.id() != except->id || owner.start_ms() != except->start_ms);
+         });
+}
+
+void MeshTarget::AcceptDeferredStart(TimePoint now) {
+  if (!m_deferred_start || MayHoldKeysOfAnotherLife(m_deferred_start->heartbeat, now)) {
+    return;
+  }
+  const TargetCall call = *std::exchange(m_deferred_start, std::nullopt);
+  const absl::Status taken = OnCall(call);
+  if (!taken.ok()) {
+    m_log.Write(LogCategory::kFailure, "registration_unreadable", {{"why", std::string(taken.message())}});
+  }
 }
 
 void MeshTarget::BeginLife(const TargetHeartbeat& heartbeat) {
@@ -519,7 +555,8 @@
   life.set_node(m_options.node);
   life.set_id(heartbeat.id);
   life.set_start_ms(heartbeat.start_ms);
-  m_grants.BeginLife(life, m_heartbeat.has_value() || heartbeat.sequence <= kFirstSequence);
+  const bool granted_nothing = heartbeat.sequence <= kFirstSequence && !MayOwnKeys(BootClock::now(), nullptr);
+  m_grants.BeginLife(life, m_heartbeat.has_value() || granted_nothing);
   m_leaving_since.reset();
   m_client.CloseIdle(TimePoint::max());
   m_key_client.CloseIdle(TimePoint::max());
@@ -576,6 +613,7 @@
     m_hooks.on_changed();
   }
   ApplyColdLimit();
+  AcceptDeferredStart(now);
   Reconcile(now);
   RetryHeldRequests();
 }
@@ -600,13 +638,7 @@
 }
 
 void MeshTarget::OnTick(TimePoint now) {
-  if (m_deferred_start && !MayHoldKeysOfEarlierLife(now)) {
-    const TargetCall call = *std::exchange(m_deferred_start, std::nullopt);
-    const absl::Status taken = OnCall(call);
-    if (!taken.ok()) {
-      m_log.Write(LogCategory::kFailure, "registration_unreadable", {{"why", std::string(taken.message())}});
-    }
-  }
+  AcceptDeferredStart(now);
   if (m_connection_refused && !m_leaving_since && Connected() == 0) {
     OnTargetEnded("its address refuses connections, and none is left");
   }
--- a/src/mesh_target_p.h
+++ b/src/mesh_target_p.h
@@ -112,9 +112,12 @@
   // connection is left. For a leaving target it proves nothing, because the target may close its port before it ends.
   void OnConnectionRefused();
   void OnTargetEnded(std::string_view why);
-  // Whether the target may hold keys under grants that were sent after the last heartbeat of the known life (run of the
-  // target process). Such a grant may have reached the next life under the old fence.
-  bool MayHoldKeysOfEarlierLife(TimePoint now) const;
+  // Whether the target may hold keys under grants that were meant for another life (run of the target process) than
+  // that of the heartbeat.
+  bool MayHoldKeysOfAnotherLife(const TargetHeartbeat& heartbeat, TimePoint now) const;
+  bool MayOwnKeys(TimePoint now, const TargetHeartbeat* except) const;
+  // Registers the life that waits, once no grant that was meant for another life can be in force.
+  void AcceptDeferredStart(TimePoint now);
   void BeginLife(const TargetHeartbeat& heartbeat);
   // Sets the cold limit according to the current configuration.
   void ApplyColdLimit();
@@ -144,7 +147,6 @@
   std::optional<TimePoint> m_evacuated_since;
   TimePoint m_cold_until;  // as reported by the target, or assumed after an evacuation
   TimePoint m_last_contact_at;
-  TimePoint m_last_heartbeat_at;
   std::optional<TargetCall> m_deferred_start;  // latest heartbeat of a new life that may hold keys under earlier grants
   int m_consecutive_failures = 0;              // since the last contact
   std::unordered_map<AdmissionTicket, ActiveRequest> m_requests;
--- a/tests/mesh_registration_test.cc
+++ b/tests/mesh_registration_test.cc
@@ -40,5 +40,64 @@
   REQUIRE(node.WaitUntil([&] { return node.target_server.Count("run r1") == 1; }));
 }
 
+// Guards against two owners of a key: a grant had reached the next life of a crashed target before its first heartbeat,
+// and its keys were given away at that heartbeat (review/4).
+TEST_CASE("a restarted target is reported only when no grant for its former life can be in force") {
+  TargetFixture node("desk");
+  const auto reported_start = [&] { return node.target.Report(BootClock::now()).start_ms(); };
+  const auto wait_for_start = [&](std::int64_t start_ms) {
+    return node.WaitUntil([&] { return reported_start() == start_ms; });
+  };
+  node.Configure();
+
+  SECTION("while the node runs") {
+    REQUIRE(node.SendHeartbeat(1, 4).ok());
+    node.AssignAllKeys(3, 1);
+    REQUIRE(node.WaitUntil([&] { return node.target_server.Count("grant 0 3") == 1; }));
+    const TimePoint granted = BootClock::now();
+    SECTION("a heartbeat of the former life arrives after the grant") {
+      REQUIRE(node.SendHeartbeat(1, 5).ok());
+      REQUIRE(node.SendHeartbeat(2, 1).ok());
+    }
+    SECTION("a heartbeat of the former life arrives after the first one of the new life") {
+      REQUIRE(node.SendHeartbeat(2, 1).ok());
+      REQUIRE(node.SendHeartbeat(1, 5).ok());
+    }
+    CHECK(reported_start() == 1);
+    CHECK_FALSE(node.target.Report(BootClock::now()).gone());
+    REQUIRE(wait_for_start(2));
+    CHECK(BootClock::now() - granted > milliseconds(1000));
+    CHECK(node.target_server.Count("grant 0 3") == 1);
+  }
+  SECTION("after a restart of the node, which does not know what its earlier run has granted") {
+    const TimePoint start = BootClock::now();
+    node.AssignAllKeys(3, 1);
+    REQUIRE(node.SendHeartbeat(2, 1).ok());
+    CHECK(reported_start() == 0);
+    SECTION("a heartbeat of the former life that arrives late is ignored") {
+      REQUIRE(node.SendHeartbeat(1, 9).ok());
+      CHECK(reported_start() == 0);
+    }
+    REQUIRE(wait_for_start(2));
+    CHECK(BootClock::now() - start > milliseconds(1500));
+    CHECK(node.target_server.Count("grant") == 0);
+  }
+  SECTION("a life that owns the keys according to the table is reported at once") {
+    node.AssignAllKeys(3, 2);
+    REQUIRE(node.SendHeartbeat(2, 6).ok());
+    CHECK(reported_start() == 2);
+  }
+  SECTION("a life on a node that owns no keys is reported at once") {
+    REQUIRE(node.SendHeartbeat(2, 1).ok());
+    CHECK(reported_start() == 2);
+  }
+  SECTION("a life on a node whose replica may be old is reported when the grants of its earlier run have lapsed") {
+    node.authority_end = TimePoint();
+    REQUIRE(node.SendHeartbeat(2, 1).ok());
+    CHECK(reported_start() == 0);
+    REQUIRE(wait_for_start(2));
+  }
+}
+
 }  // namespace
 }  // namespace magnoliaarch
--- a/tests/mesh_target_test.cc
+++ b/tests/mesh_target_test.cc
@@ -186,8 +186,9 @@
     REQUIRE(fresh.WaitUntil([&] { return !fresh.released.empty(); }));
     CHECK(BootClock::now() - start < milliseconds(500));
   }
-  SECTION("the target may hold keys until the earlier grants have lapsed") {
-    CHECK(node.target.MayHoldKeys(BootClock::now()));
+  SECTION("the target, or its next life, may hold keys until the earlier grants have lapsed") {
+    const TimePoint start = BootClock::now();
+    CHECK(node.target.MayHoldKeys(start));
     REQUIRE(node.SendHeartbeat(2, 1).ok());
     CHECK_FALSE(node.target.MayHoldKeys(BootClock::now()));
   }
@@ -221,7 +222,7 @@
     REQUIRE(node.WaitUntil([&] { return node.target.Report(BootClock::now()).start_ms() == 2; }));
     CHECK(node.target.Report(BootClock::now()).leaving());
   }
-  SECTION("a new life is accepted at once if nothing was granted since the last heartbeat") {
+  SECTION("a new life is accepted at once if all grants have lapsed") {
     REQUIRE(node.WaitUntil([&] { return node.target.Report(BootClock::now()).start_ms() == 2; }));
     REQUIRE(node.SendHeartbeat(3, 1).ok());
     CHECK(node.target.Report(BootClock::now()).start_ms() == 3);
