Grant keys that were reported as free only under new fences

If the target answers again before that write takes effect, its node renews the grant, and two servers hold the keys.

Change: fences of ranges that were reported as free are forfeited. Grants under them stop until the table has others; the node asks for the conditional write that raises them, and that write and the one that gives the keys away exclude each other.

--- a/src/mesh_grants.cc
+++ b/src/mesh_grants.cc
@@ -17,6 +17,8 @@
 constexpr Duration kMaxCallDelay = std::chrono::milliseconds(60);
 constexpr Duration kGrantTimeout = std::chrono::milliseconds(500);
 constexpr Duration kGrantRetryDelay = std::chrono::milliseconds(100);
+// Delay before forfeited fences are reported again if the table still has them.
+constexpr Duration kForfeitReportInterval = std::chrono::milliseconds(600);
 constexpr Duration kReleaseTimeout = std::chrono::milliseconds(1500);
 // The target answers a release when its requests for the keys have ended. A release without an answer is sent once more
 // after this time, since the answer may have been lost.
@@ -74,6 +76,7 @@
   m_grants.clear();
   m_releases.clear();
   m_possible_holds.clear();
+  m_forfeited_fences.clear();
 }
 
 void KeyGrants::Clear() {
@@ -82,6 +85,30 @@
   m_earlier_run_grants_lapse_at = TimePoint();
 }
 
+void KeyGrants::Forfeit(const proto::KeyTable& table) {
+  for (const proto::KeyRange& range : table.ranges()) {
+    if (SameLife(range.owner(), m_life)) {
+      m_forfeited_fences.insert(range.fence());
+    }
+  }
+}
+
+void KeyGrants::ReportForfeits(TimePoint now) {
+  std::set<std::uint64_t> fences;
+  for (const Grant& grant : m_grants) {
+    if (m_forfeited_fences.contains(grant.fence)) {
+      fences.insert(grant.fence);
+    }
+  }
+  m_forfeited_fences = fences;
+  if (fences.empty() || now - m_forfeits_reported_at < kForfeitReportInterval) {
+    return;
+  }
+  m_forfeits_reported_at = now;
+  m_log.Write(LogCategory::kState, "keys_forfeited", {{"ranges", fences.size()}});
+  m_hooks.on_fences_refused(fences);
+}
+
 KeyGrants::KeyState KeyGrants::KeyStateOf(const proto::KeyRange* range,
                                           std::uint32_t key,
                                           TimePoint now,
@@ -237,8 +264,10 @@
   if (!renew) {
     return;
   }
+  ReportForfeits(now);
   for (Grant& grant : m_grants) {
-    if (!grant.call_pending && !grant.release_deferred && now >= grant.next_renewal_at) {
+    if (!m_forfeited_fences.contains(grant.fence) && !grant.call_pending && !grant.release_deferred &&
+        now >= grant.next_renewal_at) {
       SendGrant(grant, max_hold, now);
     }
   }
--- a/src/mesh_grants_p.h
+++ b/src/mesh_grants_p.h
@@ -31,7 +31,8 @@
   std::function<void()> on_call_settled;
   // The target no longer holds a range that has a planned successor.
   std::function<void(const proto::KeyRange& range, const std::string& handover)> on_released;
-  // The target has refused grants, because it has seen higher fences for their keys.
+  // Grants under these fences are no longer possible: the target has seen higher ones for their keys, or the keys were
+  // forfeited. Called again until the table has other fences.
   std::function<void(const std::set<std::uint64_t>& fences)> on_fences_refused;
 };
 
@@ -52,6 +53,9 @@
   void BeginLife(const proto::TargetLife& life, bool none_of_earlier_run);
   // Forgets all grants, because the target process has ended.
   void Clear();
+  // The target's keys have been reported as free, so other nodes may take them at any time. They are granted again only
+  // under new fences: the write that raises them and the one that gives the keys away exclude each other.
+  void Forfeit(const proto::KeyTable& table);
 
   // State of the key under this table range. If another node owns the key, sets `owner` to its name.
   KeyState KeyStateOf(const proto::KeyRange* range, std::uint32_t key, TimePoint now, std::string* owner) const;
@@ -114,6 +118,7 @@
   bool HasUnansweredGrant(std::uint32_t first, std::uint32_t last, TimePoint now) const;
   Grant CarryOverGrant(const proto::KeyRange& range) const;
   void SendGrant(Grant& grant, Duration max_hold, TimePoint now);
+  void ReportForfeits(TimePoint now);
   void OnGrantResult(std::uint32_t first, std::uint64_t fence, TimePoint sent, Duration hold, const HttpResult& result);
   void AdvanceRelease(const proto::KeyRange& range, TimePoint now);
   void StartRelease(const proto::KeyRange& range, TimePoint now);
@@ -132,6 +137,8 @@
   std::vector<Release> m_releases;
   std::vector<UnansweredGrant> m_unanswered_grants;
   std::vector<PossibleHold> m_possible_holds;
+  std::set<std::uint64_t> m_forfeited_fences;
+  TimePoint m_forfeits_reported_at;
   std::uint64_t m_last_grant_number = 0;
 };
 
--- a/src/mesh_target.cc
+++ b/src/mesh_target.cc
@@ -681,6 +681,10 @@
   // Once all grants have lapsed, a target that is silent, unconfirmed or past its serve deadline holds no keys, even if
   // its process still runs.
   report.set_gone(m_ended || ((m_silent || m_unconfirmed || now >= ServeDeadline()) && !MayHoldKeys(now)));
+  const TableState* table = m_hooks.view().Table(m_heartbeat->service);
+  if (report.gone() && table != nullptr) {
+    m_grants.Forfeit(table->table);
+  }
   report.set_cold(m_admission_queue.IsCold(now));
   report.set_slots(m_heartbeat->slots);
   report.set_load_permille(m_admission_queue.LoadPermille());
--- a/tests/mesh_registration_test.cc
+++ b/tests/mesh_registration_test.cc
@@ -99,5 +99,38 @@
   }
 }
 
+// Guards against two owners of a key: the keys of a target that was reported gone were being given away by a write that
+// does not depend on the target, while it answered again and its node renewed the grants.
+TEST_CASE("keys that were reported as free are granted again only under a new fence") {
+  TargetFixture node("desk");
+  node.Configure();
+  REQUIRE(node.SendHeartbeat(1, 4).ok());
+  node.AssignAllKeys(3, 1);
+  REQUIRE(node.WaitUntil([&] { return node.target_server.Count("grant 0 3") == 1; }));
+  const auto evacuate = [&](bool evacuated) {
+    proto::ViewItem item;
+    item.set_key("op/evacuate/z1");
+    item.set_value("{}");
+    item.set_deleted(!evacuated);
+    item.set_revision(++node.revision);
+    node.view.Apply(item);
+    node.target.OnViewChanged();
+  };
+  node.bounds.evacuate = std::chrono::milliseconds(2600);  // the target serves its keys for 0.1 s of this
+  evacuate(true);
+  REQUIRE(node.WaitUntil([&] { return node.target.Report(BootClock::now()).gone(); }));
+  const int granted = node.target_server.Count("grant 0 3");
+
+  evacuate(false);
+  CHECK_FALSE(node.target.Report(BootClock::now()).gone());
+  REQUIRE(node.WaitUntil([&] { return node.refused_fences.contains(3); }));
+  node.WaitUntil([] { return false; }, milliseconds(300));
+  CHECK(node.target_server.Count("grant 0 3") == granted);
+  node.Send(1, true, true);
+  node.AssignAllKeys(4, 1);
+  REQUIRE(node.WaitUntil([&] { return node.target_server.Count("grant 0 4") == 1; }));
+  REQUIRE(node.WaitUntil([&] { return node.target_server.Count("run r1") == 1; }));
+}
+
 }  // namespace
 }  // namespace magnoliaarch
