Keep connections whose peer reads late

Cause: TCP_USER_TIMEOUT also ends connections whose peer acknowledges everything but keeps its window closed.

Change: the client uses the detector that connections between nodes have, moved to src/tcp_path: the path counts as lost only if sent bytes stay unacknowledged for 2 s. It is checked at each tick while a request is in progress.

--- a/src/h2_session.cc
+++ b/src/h2_session.cc
@@ -202,13 +202,8 @@
   }
 }
 
-H2Acknowledgement H2Session::Acknowledgement() {
-  tcp_info info{};
-  socklen_t bytes = sizeof(info);
-  if (!m_open || getsockopt(m_socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &bytes) != 0) {
-    return {};
-  }
-  return {info.tcpi_unacked != 0, std::chrono::milliseconds(info.tcpi_last_ack_recv)};
+TcpAcknowledgement H2Session::Acknowledgement() {
+  return m_open ? AcknowledgementOf(m_socket) : TcpAcknowledgement{};
 }
 
 void H2Session::Close(const std::string& reason, bool flush) {
@@ -456,12 +451,12 @@
       break;  // no data, or an end of the connection that the next read reports
     }
     consumed = process();
-  bool failed = false;
   }
   return consumed;
 }
 
 void H2Session::DispatchEvents() {
+  bool failed = false;
   while (!m_events.empty()) {
     auto events = std::exchange(m_events, {});
     for (Event& event : events) {
@@ -470,6 +465,11 @@
       } catch (const std::exception& error) {
         failed = true;
         if (m_hooks.on_error) {
+          m_hooks.on_error(error.what());
+        }
+      }
+    }
+  }
   if (failed) {
     Close("a message could not be handled");
   }
@@ -498,11 +498,6 @@
         m_hooks.on_goaway();
       }
       break;
-  }
-          m_hooks.on_error(error.what());
-        }
-      }
-    }
   }
 }
 
--- a/src/h2_session_p.h
+++ b/src/h2_session_p.h
@@ -19,6 +19,7 @@
 
 #include "byte_count_p.h"
 #include "magnoliaarch/types.h"
+#include "tcp_path_p.h"
 
 namespace magnoliaarch {
 
@@ -37,23 +38,17 @@
   kBroken,        // the server may have processed the message
 };
 
-// TCP acknowledgement state. The peer's kernel acknowledges data even if its process does not read.
-struct H2Acknowledgement {
-  bool outstanding = false;  // sent bytes are unacknowledged; bytes waiting for the send window do not count
-  Duration age{};            // time since the last acknowledgement
-};
-
 // Callbacks run on the io_context's thread, never from within a call into the session, except from Close.
 struct H2SessionHooks {
   std::function<void(std::int32_t stream, H2Message message)> on_message;
   // Client: a stream ended without a response.
-  // Another hook has thrown; the connection is closed next.
-  std::function<void(std::string_view what)> on_error;
   std::function<void(std::int32_t stream, H2Failure failure, const std::string& detail)> on_failed;
   // Server: the client cancelled a stream before its response was sent.
   std::function<void(std::int32_t stream)> on_cancelled;
   // Client: the server accepts no more streams on this connection (GOAWAY).
   std::function<void()> on_goaway;
+  // Another hook has thrown; the connection is closed next.
+  std::function<void(std::string_view what)> on_error;
   // Called once, after every stream has ended.
   std::function<void(const std::string& reason)> on_closed;
 };
@@ -114,7 +109,7 @@
 
   bool IsOpen() const { return m_open; }
   TimePoint LastReceived() const { return m_last_received; }
-  H2Acknowledgement Acknowledgement();
+  TcpAcknowledgement Acknowledgement();
   std::size_t Streams() const { return m_streams.size(); }
   TimePoint LastUse() const { return m_last_use; }
 
@@ -172,12 +167,12 @@
   // nghttp2 error code after a protocol error.
   ssize_t ProcessInput(std::size_t bytes);
   void ScheduleFlush();
-  void Dispatch(Event& event);
   void Flush();
   // Server: shuts down the send direction and reads until the peer closes, because closing with unread input would make
   // the kernel reset the connection and discard the last responses. Client: closes the connection.
   void ShutDownSend();
   void DispatchEvents();
+  void Dispatch(Event& event);
   void SetOutgoingMessage(Stream& stream, std::string head, std::shared_ptr<const std::string> body);
 
   asio::ip::tcp::socket m_socket;
--- a/src/http1_client.cc
+++ b/src/http1_client.cc
@@ -9,6 +9,7 @@
 
 #include "http1_p.h"
 #include "http_headers_p.h"
+#include "tcp_path_p.h"
 
 namespace magnoliaarch {
 namespace {
@@ -24,7 +25,7 @@
 // on the wire, it is unknown whether it was executed.
 constexpr Duration kKeepAliveMargin = std::chrono::seconds(1);
 // The connection is closed when sent bytes stay unacknowledged for this long.
-constexpr Duration kUnacknowledgedTimeout = std::chrono::seconds(2);
+constexpr Duration kPathLossTimeout = std::chrono::seconds(2);
 // Limit of request keys stored per connection, 8 bytes each. A connection that reaches it is closed after its response,
 // because a connection with an incomplete key list could carry two requests with the same key.
 constexpr std::size_t kMaxConnectionKeys = 2048;
@@ -75,6 +76,7 @@
     m_answer_bytes = 0;
     m_skipped_answers = 0;
     m_deadline = BootClock::now() + timeout;
+    m_path = PathLossDetector(kPathLossTimeout);
     m_parser.ExpectNoBody(request.method == "HEAD");
     if (m_connected) {
       ArmTimer(timeout, HttpOutcome::kTimedOut);
@@ -96,6 +98,9 @@
     m_socket.close(ignored);
   }
 
+  // Whether the network path is lost. Called at each tick while a request is in progress.
+  bool IsPathLost(TimePoint now) { return m_connected && m_path.IsPathLost(now, AcknowledgementOf(m_socket)); }
+
   void Fail(std::string why) { Finish(HttpOutcome::kBroken, std::move(why)); }
 
   // Closes the connection without calling `done`.
@@ -123,7 +128,8 @@
       return;
     }
     m_connected = true;
-    SetUserTimeout(m_socket, kUnacknowledgedTimeout);
+    asio::error_code ignored;
+    m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
     ArmTimer(m_deadline - BootClock::now(), HttpOutcome::kTimedOut);
     Read();
     Write();
@@ -307,6 +313,7 @@
   std::vector<std::size_t> m_key_hashes;  // hashes of the keys of all requests so far
   TimePoint m_deadline;
   TimePoint m_idle_until;
+  PathLossDetector m_path{kPathLossTimeout};
   std::uint64_t m_call_id = 0;
   std::uint64_t m_timer_generation = 0;
   std::size_t m_answer_bytes = 0;  // bytes read for the current request
@@ -384,6 +391,19 @@
   m_idle.push_back(connection);
 }
 
+void HttpClient::OnTick(TimePoint now) {
+  CloseIdle(now);
+  std::vector<std::shared_ptr<Connection>> lost;
+  for (const auto& [call, connection] : m_busy) {
+    if (connection->IsPathLost(now)) {
+      lost.push_back(connection);
+    }
+  }
+  for (const std::shared_ptr<Connection>& connection : lost) {
+    connection->Fail("the connection lost its network path");
+  }
+}
+
 void HttpClient::CloseIdle(TimePoint now) {
   std::erase_if(m_idle, [now](const std::shared_ptr<Connection>& connection) {
     if (connection->IsUsable(now)) {
--- a/src/http1_p.h
+++ b/src/http1_p.h
@@ -238,6 +238,9 @@
   // Cancels a request and closes its connection.
   void Cancel(std::uint64_t call);
 
+  // Closes idle connections that must not be reused, and ends the requests of connections whose network path is lost.
+  // Must be called at least every 200 ms, or lost paths are not detected.
+  void OnTick(TimePoint now);
   void CloseIdle(TimePoint now);
   void CloseAll();
   // Number of established connections, idle or in use; 0 if the server process has ended.
--- a/src/mesh_peers.cc
+++ b/src/mesh_peers.cc
@@ -12,9 +12,6 @@
 namespace {
 
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(400);
-// If no TCP acknowledgement arrives for this long, the network path is considered lost. TCP_USER_TIMEOUT is not used:
-// it also ends connections whose receive window is full because the peer process reads late.
-constexpr Duration kPathLossTimeout = std::chrono::milliseconds(1500);
 // A connection with open streams that received nothing for this long is pinged.
 constexpr Duration kPingAfterQuiet = std::chrono::milliseconds(300);
 // A peer that sends nothing for this long after the ping is suspected to be down: new calls use another connection.
@@ -109,7 +106,7 @@
   const MeshPeerAddress peer = gone ? MeshPeerAddress{} : MeshPeerAddress{remote.address().to_string(), remote.port()};
   const auto session = std::make_shared<H2Session>(std::move(socket), SessionOptions(true));
   const std::uint64_t connection = ++m_last_id;
-  m_inbound.emplace(connection, InboundConnection{session, {}, {}, peer, {}});
+  m_inbound.emplace(connection, InboundConnection{session, {}, {}, peer});
   const std::weak_ptr<bool> alive = m_alive;
   H2SessionHooks hooks;
   hooks.on_message = [this, alive, connection](std::int32_t stream, H2Message message) {
@@ -150,10 +147,10 @@
       const std::uint64_t id = call->second;
       it->second.streams.erase(call);
       m_hooks.on_abandoned(id);
-  hooks.on_error = m_hooks.on_error;
     }
   };
   hooks.on_cancelled = abandon;
+  hooks.on_error = m_hooks.on_error;
   hooks.on_closed = [this, alive, connection, abandon](const std::string& /*reason*/) {
     if (alive.expired()) {
       return;
@@ -244,10 +241,10 @@
   hooks.on_message = [this, take_call, id](std::int32_t stream, H2Message message) {
     if (const std::uint64_t call = take_call(stream)) {
       CompleteCall(call, MeshCallResult{MeshCallOutcome::kAnswered, std::move(message), {}});
-  hooks.on_error = m_hooks.on_error;
       CloseIfUnused(id);
     }
   };
+  hooks.on_error = m_hooks.on_error;
   hooks.on_failed = [this, take_call, id](std::int32_t stream, H2Failure failure, const std::string& detail) {
     if (const std::uint64_t call = take_call(stream)) {
       const bool not_sent = failure == H2Failure::kNotProcessed;
@@ -413,16 +410,6 @@
   }
 }
 
-bool PathLossDetector::IsPathLost(TimePoint now, const H2Acknowledgement& acknowledgement) {
-  const bool paused = now - m_last_check_at > kStallThreshold;
-  m_last_check_at = now;
-  if (paused || !acknowledgement.outstanding) {
-    m_acknowledged_at = now;
-  }
-  m_acknowledged_at = std::max(m_acknowledged_at, now - acknowledgement.age);
-  return now - m_acknowledged_at > kPathLossTimeout;
-}
-
 void MeshPeers::OnTick(TimePoint now) {
   if (m_last_tick_at != TimePoint() && now - m_last_tick_at > kStallThreshold) {
     m_stall_ended_at = now;
--- a/src/mesh_peers_p.h
+++ b/src/mesh_peers_p.h
@@ -17,6 +17,7 @@
 #include "magnoliaarch/types.h"
 #include "mesh.pb.h"
 #include "mesh_timer_p.h"
+#include "tcp_path_p.h"
 
 namespace magnoliaarch {
 
@@ -59,23 +60,11 @@
   Duration quiet_for{};   // time since the connection last received bytes
 };
 
-// Detects that the network path of a connection is lost: the peer's kernel acknowledges none of the bytes sent. A peer
-// process that is slow or reads late is not affected, because its kernel still acknowledges.
-class PathLossDetector {
- public:
-  // Whether the path is lost. Called at each tick while the connection receives nothing. After a gap between the calls
-  // the wait for an acknowledgement starts again.
-  bool IsPathLost(TimePoint now, const H2Acknowledgement& acknowledgement);
-
- private:
-  TimePoint m_last_check_at;
-  TimePoint m_acknowledged_at;
-};
+// If no TCP acknowledgement arrives for this long, the network path to the peer is considered lost.
+inline constexpr Duration kPeerPathLossTimeout = std::chrono::milliseconds(1500);
 
 class MeshPeers {
  public:
-    // Another hook, or the `done` of a call, has thrown; its connection is closed. May be null.
-    std::function<void(std::string_view what)> on_error;
   using Done = std::function<void(MeshCallResult)>;
   using SilenceCallback = std::function<void()>;
   using Reply = std::function<void(MessageHead head, std::string body)>;
@@ -85,6 +74,8 @@
     // The peer no longer waits for the answer.
     std::function<void(std::uint64_t call)> on_abandoned;
     std::function<void(const PeerSilence&)> on_silent;
+    // Another hook, or the `done` of a call, has thrown; its connection is closed. May be null.
+    std::function<void(std::string_view what)> on_error;
   };
 
   MeshPeers(asio::io_context& context, TimerQueue& timers, std::string ip, std::uint16_t port, Hooks hooks);
@@ -135,14 +126,14 @@
     std::unordered_map<std::int32_t, std::uint64_t> streams;
     TimerId connect_timer = 0;
     TimePoint pinged;
-    PathLossDetector path;
+    PathLossDetector path{kPeerPathLossTimeout};
   };
   struct InboundConnection {
     std::shared_ptr<H2Session> session;
     std::unordered_map<std::int32_t, std::uint64_t> streams;
     TimePoint pinged;
     MeshPeerAddress peer;
-    PathLossDetector path;
+    PathLossDetector path{kPeerPathLossTimeout};
   };
 
   void Accept();
--- a/src/mesh_store_p.h
+++ b/src/mesh_store_p.h
@@ -52,7 +52,7 @@
   const std::map<std::string_view, std::uint64_t>& Calls() const { return m_calls; }
   std::uint64_t Relayed() const { return m_relayed; }
   const ByteCount& Bytes() const { return m_client.Bytes(); }
-  void OnTick(TimePoint now) { m_client.CloseIdle(now); }
+  void OnTick(TimePoint now) { m_client.OnTick(now); }
 
  private:
   enum class RetryPolicy { kAlways, kOnlyIfNotApplied };
--- a/src/mesh_target.cc
+++ b/src/mesh_target.cc
@@ -662,8 +662,8 @@
   }
   Reconcile(now);
   RetryHeldRequests();
-  m_client.CloseIdle(now);
-  m_key_client.CloseIdle(now);
+  m_client.OnTick(now);
+  m_key_client.OnTick(now);
   if (m_admission_queue.Queued() > 0) {
     RunQueue();
   }
--- a/tests/mesh_peers_test.cc
+++ b/tests/mesh_peers_test.cc
@@ -138,9 +138,9 @@
 // Guards against calls that wait for their whole timeout on a connection whose network path is lost.
 TEST_CASE("the network path of a connection counts as lost") {
   constexpr int kTickMs = 50;
-  PathLossDetector check;
+  PathLossDetector check(kPeerPathLossTimeout);
   // Runs the check at every tick of the time span. Returns whether it ever found the path lost.
-  const auto run = [&](int from_ms, int to_ms, const std::function<H2Acknowledgement(int)>& state) {
+  const auto run = [&](int from_ms, int to_ms, const std::function<TcpAcknowledgement(int)>& state) {
     bool gone = false;
     for (int at = from_ms; at < to_ms; at += kTickMs) {
       gone = check.IsPathLost(At(at), state(at)) || gone;
@@ -149,9 +149,9 @@
   };
   // The state at a time when the last acknowledgement came at `acknowledged_ms`.
   const auto last_acknowledged_at = [](int acknowledged_ms) {
-    return [acknowledged_ms](int at) { return H2Acknowledgement{true, milliseconds(at - acknowledged_ms)}; };
+    return [acknowledged_ms](int at) { return TcpAcknowledgement{true, milliseconds(at - acknowledged_ms)}; };
   };
-  const auto idle = [](int at) { return H2Acknowledgement{false, milliseconds(at)}; };
+  const auto idle = [](int at) { return TcpAcknowledgement{false, milliseconds(at)}; };
 
   SECTION("after 1.5 s without an acknowledgement") {
     CHECK_FALSE(run(0, 1500, last_acknowledged_at(0)));
@@ -163,7 +163,7 @@
     CHECK(run(6400, 6700, last_acknowledged_at(0)));
   }
   SECTION("not while acknowledgements keep arriving") {
-    CHECK_FALSE(run(0, 10000, [](int at) { return H2Acknowledgement{true, milliseconds(at % 1400)}; }));
+    CHECK_FALSE(run(0, 10000, [](int at) { return TcpAcknowledgement{true, milliseconds(at % 1400)}; }));
   }
   SECTION("not while bytes only wait for a full receive window") {
     CHECK_FALSE(run(0, 10000, idle));
