--- a/src/mesh_target.cc
+++ b/src/mesh_target.cc
@@ -284,7 +284,9 @@
     case HttpOutcome::kAnswered: {
       OnContact();
       m_consecutive_failures = 0;
-      m_silent = false;
+      if (std::exchange(m_silent, false)) {
+        m_hooks.on_changed();
+      }
       const TargetAnswerInfo info = m_wire.ReadTargetAnswer(result.answer, it->second.request.id());
       if (info.wrong_target) {
         m_unconfirmed = true;
--- a/tests/mesh_target_fixture.h
+++ b/tests/mesh_target_fixture.h
@@ -134,7 +134,7 @@
       released.emplace_back(range.first(), handover);
     };
     hooks.on_fences_refused = [this](const std::set<std::uint64_t>& fences) { refused_fences = fences; };
-    hooks.on_changed = [] {};
+    hooks.on_changed = [this] { ++changes; };
     return hooks;
   }
 
@@ -251,6 +251,7 @@
   MeshBounds bounds;
   MeshView view;
   std::optional<TimePoint> authority_end;
+  int changes = 0;
   std::vector<std::pair<std::uint32_t, std::string>> released;
   std::set<std::uint64_t> refused_fences;
   std::map<AdmissionTicket, proto::MeshAnswer> answers;
--- a/tests/mesh_target_test.cc
+++ b/tests/mesh_target_test.cc
@@ -190,6 +190,10 @@
     const TimePoint start = BootClock::now();
     CHECK(node.target.MayHoldKeys(start));
     REQUIRE(node.SendHeartbeat(2, 1).ok());
+    CHECK(node.target.MayHoldKeys(BootClock::now()));
+    CHECK(node.target.Report(BootClock::now()).start_ms() == 1);
+    REQUIRE(node.WaitUntil([&] { return node.target.Report(BootClock::now()).start_ms() == 2; }));
+    CHECK(BootClock::now() - start > milliseconds(1500));
     CHECK_FALSE(node.target.MayHoldKeys(BootClock::now()));
   }
 }
@@ -335,6 +339,20 @@
     CHECK(node.answers[1].outcome() == proto::MESH_ANSWERED);
     CHECK(node.target_server.Count("run") == 1);
   }
+  // Guards against leaving a target unused that answers again: its node did not report the change.
+  SECTION("a silent target that answers is reported at once") {
+    node.Send(1, true, false);
+    node.Send(2, true, false);
+    node.WaitUntil([] { return false; }, milliseconds(600));
+    node.Send(3, true, false);
+    REQUIRE(node.WaitUntil([&] { return !node.target.Report(BootClock::now()).accepts(); }));
+    const int changes = node.changes;
+    node.target_server.AnswerAll();
+    REQUIRE(node.WaitUntil([&] { return node.answers.contains(3); }));
+    CHECK(node.answers[3].outcome() == proto::MESH_ANSWERED);
+    CHECK(node.target.Report(BootClock::now()).accepts());
+    CHECK(node.changes > changes);
+  }
   SECTION("a target whose address refuses connections has ended") {
     TargetFixture other("ledger");
     other.Configure();
@@ -344,6 +362,7 @@
     TargetCall call;
     call.id = call.heartbeat.id = "t1";
     call.heartbeat.service = "ledger";
+    call.heartbeat.address = "127.0.0.1:" + std::to_string(options.port);
     call.heartbeat.start_ms = 1;
     call.heartbeat.sequence = 1;
     REQUIRE(dead.OnCall(call).ok());
@@ -363,5 +382,4 @@
 }
 
 }  // namespace
-    call.heartbeat.address = "127.0.0.1:" + std::to_string(options.port);
 }  // namespace magnoliaarch
