Forget the longest deadline of a route's callers after a while

One caller with a long deadline made all later requests of the route count as late, for good.

Change: the longest deadline of the last ten to twenty seconds counts.

Test: "the longest recent value is forgotten after two windows".

--- a/src/mesh_ingress.cc
+++ b/src/mesh_ingress.cc
@@ -120,8 +120,7 @@
   Duration elapsed(0);
   RouteStats& stats = m_route_stats[route->name];
   if (!route->open && caller->time_left.has_value()) {
-    stats.longest_wait = std::max(stats.longest_wait, time_left);
-    elapsed = stats.longest_wait - time_left;
+    elapsed = stats.longest_wait.Update(now, time_left) - time_left;
   }
   pending.expires = now + std::min(time_left, route->timeout);
   pending.objective = now + route->objective - elapsed;
--- a/src/mesh_ingress_p.h
+++ b/src/mesh_ingress_p.h
@@ -24,6 +24,7 @@
 #include "mesh_timer_p.h"
 #include "mesh_view_p.h"
 #include "mesh_wire_p.h"
+#include "recent_max_p.h"
 
 namespace magnoliaarch {
 
@@ -127,8 +128,10 @@
     std::optional<HttpMessage> fallback_answer;  // error answer of a target, kept while the request is retried
     std::string last_failure;
   };
+  // Callers change the time that they give. A single long one must not make all others count as late for good.
+  static constexpr Duration kLongestWaitWindow = std::chrono::seconds(10);
   struct RouteStats {
-    Duration longest_wait{};  // longest time until the deadline that a caller of the route has given
+    RecentMax longest_wait{kLongestWaitWindow};  // longest time until the deadline that callers of the route give
     std::vector<double> service_credit;
   };
 
--- a/tests/mesh_choice_test.cc
+++ b/tests/mesh_choice_test.cc
@@ -4,6 +4,7 @@
 
 #include "kv_platform.h"
 #include "mesh_util.h"
+#include "recent_max_p.h"
 
 namespace magnoliaarch {
 namespace {
@@ -106,5 +107,19 @@
   }
 }
 
+// Guards against counting all callers of a route as late for good because one of them gave a long deadline.
+TEST_CASE("the longest recent value is forgotten after two windows") {
+  RecentMax longest{milliseconds(1000)};
+  CHECK(longest.Update(At(0), milliseconds(500)) == milliseconds(500));
+  CHECK(longest.Update(At(100), milliseconds(9000)) == milliseconds(9000));
+  CHECK(longest.Update(At(900), milliseconds(400)) == milliseconds(9000));
+  CHECK(longest.Update(At(1500), milliseconds(400)) == milliseconds(9000));
+  CHECK(longest.Update(At(2600), milliseconds(400)) == milliseconds(400));
+  SECTION("and at once after a long time without values") {
+    CHECK(longest.Update(At(2700), milliseconds(9000)) == milliseconds(9000));
+    CHECK(longest.Update(At(9000), milliseconds(300)) == milliseconds(300));
+  }
+}
+
 }  // namespace
 }  // namespace magnoliaarch
