Refuse new work before the exit of a stopping node also after a stall

Cause: new work is refused 0.6 s after the handover of the keys, and the handover is a step of a tick. A stall of 2.4 s delayed it until the refusal fell behind the exit.

Change: new work is also refused by the time that is left of the grace. Without a stall this is the same moment as before.

Test: "a planned stop ends within the grace period ...", section "after a stall the target gets no new requests if the exit is near", failed before.

--- a/src/mesh_stop.cc
+++ b/src/mesh_stop.cc
@@ -51,8 +51,10 @@
     steps.hand_over_keys = true;
   }
   const bool handover_known = m_handed_over_at && now - *m_handed_over_at > kHandOverPropagation;
-  // Requests keep arriving if the keys have no other owner. The exit could cut off requests that started now.
-  steps.refuse_work = IsFirstDue(handover_known, &m_refuses_work);
+  // Requests keep arriving if the keys have no other owner. The exit could cut off requests that started now. The time
+  // also counts if a stall of this node has delayed the handover.
+  const Duration refuse_before_end = HandOverBeforeEnd(grace, state.longest_work) - kHandOverPropagation;
+  steps.refuse_work = IsFirstDue(handover_known || elapsed > grace - refuse_before_end, &m_refuses_work);
   const bool idle = handover_known && state.idle;
   if (!m_exit_deadline && may_close &&
       ((idle && elapsed > kMinServeAfterSignal) || elapsed > grace - kStoreCallsBeforeEnd)) {
--- a/tests/mesh_stop_test.cc
+++ b/tests/mesh_stop_test.cc
@@ -114,6 +114,19 @@
     CHECK(busy.end > 0);
     CHECK(busy.end < 5900);
   }
+  // Guards against cutting off requests that were sent to the target shortly before the exit: a stall had delayed the
+  // handover, and with it the refusal of new work (soak seed 227).
+  SECTION("after a stall the target gets no new requests if the exit is near") {
+    PlannedStop stop;
+    stop.Begin(At(0));
+    const StopState busy{true, false, false};
+    for (int ms = 0; ms <= 2900; ms += kTickMs) {
+      CHECK_FALSE(stop.Step(At(ms), kGrace, busy).refuse_work);
+    }
+    const StopSteps steps = stop.Step(At(5300), kGrace, busy);
+    CHECK(steps.hand_over_keys);
+    CHECK(steps.refuse_work);
+  }
   SECTION("each step is returned once") {
     PlannedStop stop;
     stop.Begin(At(0));
