Count only present token nodes in the share of nodes in touch

Found by reading the change once more: a node that failed once and then no longer handed out tokens is never called again, so it counted as out of touch for good, and pools of other nodes refilled at a lower rate than the limit. With more than 16 nodes, duties move while a deployment starts.

Change: the share is taken over the nodes that hand out tokens now.

Sites of up to 16 nodes don't use it.

--- a/src/mesh_token_client.cc
+++ b/src/mesh_token_client.cc
@@ -1,6 +1,7 @@
 #include "mesh_token_client_p.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace magnoliaarch {
@@ -49,15 +50,18 @@
 }
 
 double TokenClient::ShareInTouch(TimePoint now) const {
-  int known = 1;
-  int in_touch = 1;
-  for (const auto& [node, source] : m_sources) {
-    if (node != m_session.Self().node() && m_session.View().FindMember(node) != nullptr) {
-      ++known;
-      in_touch += IsFailing(source, now) ? 0 : 1;
-    }
+  const auto config = m_session.View().Config();
+  // Only nodes that hand out tokens now: others are not called any more, so a failure of theirs would count for ever.
+  std::set<std::string> nodes;
+  for (std::size_t i = 0; config != nullptr && i < config->workspaces.size(); ++i) {
+    nodes.insert(m_service.NodeFor(i));
   }
-  return static_cast<double>(in_touch) / known;
+  nodes.erase("");
+  const auto in_touch = std::count_if(nodes.begin(), nodes.end(), [&](const std::string& node) {
+    const auto source = m_sources.find(node);
+    return source == m_sources.end() || !IsFailing(source->second, now);
+  });
+  return nodes.empty() ? 1 : static_cast<double>(in_touch) / static_cast<double>(nodes.size());
 }
 
 bool TokenClient::RequestNow(std::size_t workspace) {
