Review: a success without a signature reaches the client

Cause: no code looks for the signature of a target's success. Change: a script whose upstreams spoil one byte of some answers.

--- a/review/mesh_case.py
+++ b/review/mesh_case.py
@@ -1,6 +1,5 @@
 """A small mesh deployment on loopback for the cases of review/: nodes with the command and the settings template of the
 deploy file, the project's store stand-in, and upstreams and clients that follow PROTOCOL.md."""
-import base64
 import http.client
 import http.server
 import json
@@ -108,6 +107,7 @@
         self.waiting = 0
         self.runs, self.grants, self.highest = [], [], []
         self.connections = set()
+        self.spoiled_share = 0.0
         self.stopped, self.left = threading.Event(), False
         self.on_release = None
         upstream = self
@@ -242,9 +242,14 @@
         with self.lock:
             run.ended = time.monotonic()
         self.slots.release()
-        self.case.record.write("ran", at=self.name, id=request_id, key=key)
-        connection.reply(200, {"Request-Id": request_id, "Response-Signature": f"s.{request_id}",
-                               "Server-Load": f"1,0,{SLOTS}"}, b"done " + request_id.encode())
+        signature = "Response-Signature" if not self.spoils() else "Response-Signatuse"
+        self.case.record.write("ran", at=self.name, id=request_id, key=key, signed_by=signature)
+        connection.reply(200, {"Request-Id": request_id, signature: f"s.{request_id}", "Server-Load": f"1,0,{SLOTS}"},
+                         b"done " + request_id.encode())
+
+    def spoils(self):
+        """Whether a byte of the next answer is wrong."""
+        return random.random() < self.spoiled_share
 
     def beat(self, late_s=0.0):
         """Sends a heartbeat. It arrives this late, with the state of now."""
@@ -435,9 +440,10 @@
                                         timeout=deadline_ms / 1000 + 1)
         except (OSError, http.client.HTTPException) as error:
             self.record.write("unanswered", id=request_id, error=type(error).__name__)
-            return request_id, None, b""
-        self.record.write("answered", id=request_id, status=status, signed="response-signature" in answer)
-        return request_id, status, text
+            return request_id, None, False
+        signed = "response-signature" in answer
+        self.record.write("answered", id=request_id, status=status, signed=signed, bytes=len(text))
+        return request_id, status, signed
 
     def load(self, per_s, send):
         """Calls `send` in a thread of its own at this rate until the case ends."""
@@ -456,7 +462,3 @@
     return {"name": name, "path_prefix": prefix, "type": kind, "timeout_ms": timeout_ms,
             "target_latency_ms": target_latency_ms, "priority": 1, "service": service, "max_attempts": attempts,
             "no_auth": True}
-
-
-def stored(value):
-    return base64.b64decode(value)
