--- a/review/mesh_case.py
+++ b/review/mesh_case.py
@@ -45,7 +45,7 @@
 
 def free_port(taken):
     while True:
-        port = random.randrange(20000, 32000)
+        port = random.randrange(20000, 32000)  # below the ports that the kernel gives to outgoing connections
         with socket.socket() as probe:
             try:
                 probe.bind(("127.0.0.1", port))
