--- a/review/7/case.py
+++ b/review/7/case.py
@@ -23,9 +23,10 @@
     machines = [(f"ledger-{letter}", "ledger", False, 0.3) for letter in "abcd"]
     with mesh_case.Case(pathlib.Path(__file__).resolve().parent, machines, routes) as case:
         leaving, node = case.upstreams[0], case.nodes[0]
-        for client in case.nodes[1:]:
-            case.load(6, lambda client=client: case.request(client, "/read/x"))
-            case.load(6, lambda client=client: case.request(client, "/book/x", "POST", body=b"order"))
+        # The last node is in the zone of the upstream that leaves, and has more callers than its own upstream can serve.
+        for client, rate in zip(case.nodes[1:], (6, 6, 11)):
+            case.load(rate, lambda client=client: case.request(client, "/read/x"))
+            case.load(rate, lambda client=client: case.request(client, "/book/x", "POST", body=b"order"))
         mesh_case.wait_until(lambda: len(leaving.runs) > 5, "the upstream is in use", 15)
         time.sleep(3)
         threading.Thread(target=leaving.beat, args=(LATE_BEAT_S,), daemon=True).start()
--- a/review/mesh_case.py
+++ b/review/mesh_case.py
@@ -154,8 +154,7 @@
 
     def handle(self, connection, body):
         if connection.path == "/api/grant":
-            call_body = json.loads(body)
-            self.grant(connection, call_body)
+            self.grant(connection, json.loads(body))
         elif connection.path == "/api/release":
             self.release(connection, json.loads(body))
         else:
@@ -242,15 +241,12 @@
         with self.lock:
             run.ended = time.monotonic()
         self.slots.release()
-        signature = "Response-Signature" if not self.spoils() else "Response-Signatuse"
+        # One byte of a spoiled answer is wrong.
+        signature = "Response-Signatuse" if random.random() < self.spoiled_share else "Response-Signature"
         self.case.record.write("ran", at=self.name, id=request_id, key=key, signed_by=signature)
         connection.reply(200, {"Request-Id": request_id, signature: f"s.{request_id}", "Server-Load": f"1,0,{SLOTS}"},
                          b"done " + request_id.encode())
 
-    def spoils(self):
-        """Whether a byte of the next answer is wrong."""
-        return random.random() < self.spoiled_share
-
     def beat(self, late_s=0.0):
         """Sends a heartbeat. It arrives this late, with the state of now."""
         self.sequence += 1
