--- a/review/mesh_case.py
+++ b/review/mesh_case.py
@@ -367,6 +367,14 @@
         self.record.write("BROKEN", what=text.replace(" ", "_"))
 
     def __enter__(self):
+        try:
+            self.begin()
+        except BaseException:
+            self.__exit__()
+            raise
+        return self
+
+    def begin(self):
         for program in (NODE, STORE):
             if not program.exists():
                 raise CannotRun(f"{program.name} is not built")
@@ -387,7 +395,6 @@
         for upstream in self.upstreams:
             threading.Thread(target=upstream.beats, daemon=True).start()
         wait_until(lambda: all(node.is_ready() for node in self.nodes), "the nodes are ready", 15)
-        return self
 
     def __exit__(self, *_error):
         self.stop.set()
