Log which release an answer belongs to, and when a release ends

keys_released now has the number of the release, and two events are new: release_answered (the release that was sent, the one that the answer completes, the time between) and release_ended (whether it was answered, and whether the owner keeps keys of it).

--- a/src/mesh_grants.cc
+++ b/src/mesh_grants.cc
@@ -255,11 +255,8 @@
     }
     grants.push_back(std::move(grant));
   }
-  std::erase_if(m_releases, [&](const Release& release) {
-    return std::none_of(released_ranges.begin(), released_ranges.end(),
-                        [&](const proto::KeyRange& range) { return range.first() == release.range.first(); });
-  });
   m_grants = std::move(grants);
+  DropEndedReleases(released_ranges, now);
   std::erase_if(m_unanswered_grants, [now](const UnansweredGrant& open) { return open.lapses_at <= now; });
   if (!renew) {
     return;
@@ -376,10 +373,35 @@
   }
 }
 
+void KeyGrants::DropEndedReleases(const std::vector<proto::KeyRange>& released_ranges, TimePoint now) {
+  std::erase_if(m_releases, [&](const Release& release) {
+    const bool goes_on =
+        std::any_of(released_ranges.begin(), released_ranges.end(),
+                    [&](const proto::KeyRange& range) { return range.first() == release.range.first(); });
+    if (goes_on) {
+      return false;
+    }
+    m_log.Write(LogCategory::kState, "release_ended",
+                {{"release", release.number},
+                 {"first", release.range.first()},
+                 {"last", release.range.last()},
+                 {"fence", release.range.fence()},
+                 {"answered", release.done},
+                 {"keeps_keys", std::any_of(m_grants.begin(), m_grants.end(),
+                                            [&](const Grant& grant) {
+                                              return grant.first <= release.range.last() &&
+                                                     release.range.first() <= grant.last;
+                                            })},
+                 {"sent_ms_ago", release.send_count > 0 ? now - release.sent_at : Duration(0)}});
+    return true;
+  });
+}
+
 void KeyGrants::StartRelease(const proto::KeyRange& range, TimePoint now) {
   const TimePoint lapses_at = LatestLapse(range.first(), range.last());
   const bool was_held = lapses_at != TimePoint();
   Release release;
+  release.number = ++m_last_release_number;
   release.range = range;
   // The release is sent even if the grant has lapsed, because its answer carries the handover.
   release.lapses_at = was_held ? std::max(lapses_at, now + kMinHandoverWait) : lapses_at;
@@ -387,7 +409,8 @@
   release.done = !was_held;
   m_releases.push_back(std::move(release));
   m_log.Write(LogCategory::kState, "keys_released",
-              {{"first", range.first()},
+              {{"release", m_last_release_number},
+               {"first", range.first()},
                {"last", range.last()},
                {"fence", range.fence()},
                {"successor", range.successor().node()},
@@ -413,16 +436,26 @@
   };
   m_client.Send(
       m_wire.ReleaseCall(range.first(), range.last(), range.fence(), m_address), kReleaseTimeout, classify_answer,
-      [this, range](const HttpResult& result) {
+      [this, range, number = release.number, now](const HttpResult& result) {
         if (result.outcome != HttpOutcome::kAnswered || result.answer.status != kHttpOk) {
           m_log.Write(LogCategory::kFailure, "release_failed",
-                      {{"first", range.first()}, {"status", result.answer.status}, {"detail", result.detail}});
+                      {{"release", number},
+                       {"first", range.first()},
+                       {"status", result.answer.status},
+                       {"detail", result.detail}});
           return;
         }
         m_hooks.on_contact();
         const auto pending = std::find_if(m_releases.begin(), m_releases.end(), [&](const Release& candidate) {
           return IsSameRange(candidate, range) && !candidate.done;
         });
+        m_log.Write(LogCategory::kState, "release_answered",
+                    {{"release", number},
+                     {"first", range.first()},
+                     {"last", range.last()},
+                     {"fence", range.fence()},
+                     {"sent_ms_ago", BootClock::now() - now},
+                     {"completes", pending != m_releases.end() ? pending->number : 0}});
         if (pending != m_releases.end()) {
           pending->done = true;
           RemovePossibleHolds(range.first(), range.last());
--- a/src/mesh_grants_p.h
+++ b/src/mesh_grants_p.h
@@ -87,6 +87,7 @@
     bool release_deferred = false;  // the release waits until an unanswered grant has lapsed
   };
   struct Release {
+    std::uint64_t number = 0;  // identifies the release in the log
     proto::KeyRange range;
     TimePoint sent_at;
     int send_count = 0;
@@ -126,6 +127,7 @@
   void AdvanceRelease(const proto::KeyRange& range, TimePoint now);
   void StartRelease(const proto::KeyRange& range, TimePoint now);
   void SendRelease(Release& release, TimePoint now);
+  void DropEndedReleases(const std::vector<proto::KeyRange>& released_ranges, TimePoint now);
 
   HttpClient& m_client;
   const MeshWire& m_wire;
@@ -143,6 +145,7 @@
   std::set<std::uint64_t> m_forfeited_fences;
   TimePoint m_forfeits_reported_at;
   std::uint64_t m_last_grant_number = 0;
+  std::uint64_t m_last_release_number = 0;
 };
 
 }  // namespace magnoliaarch
