Complete a move only by the release that was sent for it

Cause: a release was identified by its keys and fence. When the successor of a moving range leaves, the owner gets the keys back under the same fence; if they move again, the answer to the first release was taken for the second. Work that had begun in between was not waited for. Change: releases have numbers, which answers and completions that wait for their write refer to. A release ends when its range does not move on as it was; before, only if no moving range began with the same key, so that an owner refused requests for keys that it had kept. Why this works: a release's number is in force exactly as long as the target has been granted none of its keys since, and the write that gives the keys away depends on the table's revision.

--- a/src/mesh_grants.cc
+++ b/src/mesh_grants.cc
@@ -144,6 +144,11 @@
   }
 }
 
+bool KeyGrants::IsInForce(std::uint64_t release_number) const {
+  return std::any_of(m_releases.begin(), m_releases.end(),
+                     [&](const Release& release) { return release.number == release_number; });
+}
+
 bool KeyGrants::MayHoldKeys(TimePoint now) const {
   return now < m_earlier_run_grants_lapse_at ||
          std::any_of(m_grants.begin(), m_grants.end(), [&](const Grant& grant) { return grant.lapses_at > now; }) ||
@@ -369,15 +374,14 @@
   // answered it or, without an answer, when the grant has lapsed.
   if ((found->done || now >= found->lapses_at) && now >= found->next_report_at) {
     found->next_report_at = now + kReleaseReportInterval;
-    m_hooks.on_released(range, found->handover);
+    m_hooks.on_released(CompletedRelease{found->number, range, found->handover});
   }
 }
 
 void KeyGrants::DropEndedReleases(const std::vector<proto::KeyRange>& released_ranges, TimePoint now) {
   std::erase_if(m_releases, [&](const Release& release) {
-    const bool goes_on =
-        std::any_of(released_ranges.begin(), released_ranges.end(),
-                    [&](const proto::KeyRange& range) { return range.first() == release.range.first(); });
+    const bool goes_on = std::any_of(released_ranges.begin(), released_ranges.end(),
+                                     [&](const proto::KeyRange& range) { return IsSameRange(release, range); });
     if (goes_on) {
       return false;
     }
@@ -418,7 +422,7 @@
   if (was_held) {
     SendRelease(m_releases.back(), now);
   } else {
-    m_hooks.on_released(range, "");
+    m_hooks.on_released(CompletedRelease{m_last_release_number, range, ""});
   }
 }
 
@@ -446,8 +450,9 @@
           return;
         }
         m_hooks.on_contact();
-        const auto pending = std::find_if(m_releases.begin(), m_releases.end(), [&](const Release& candidate) {
-          return IsSameRange(candidate, range) && !candidate.done;
+        // The keys may have been granted again since, and be moving once more under the same fence.
+        const auto pending = std::find_if(m_releases.begin(), m_releases.end(), [number](const Release& candidate) {
+          return candidate.number == number && !candidate.done;
         });
         m_log.Write(LogCategory::kState, "release_answered",
                     {{"release", number},
@@ -455,12 +460,12 @@
                      {"last", range.last()},
                      {"fence", range.fence()},
                      {"sent_ms_ago", BootClock::now() - now},
-                     {"completes", pending != m_releases.end() ? pending->number : 0}});
+                     {"completes", pending != m_releases.end()}});
         if (pending != m_releases.end()) {
           pending->done = true;
           RemovePossibleHolds(range.first(), range.last());
           pending->handover = m_wire.HandoverToken(result.answer);
-          m_hooks.on_released(pending->range, pending->handover);
+          m_hooks.on_released(CompletedRelease{number, pending->range, pending->handover});
         }
       },
       ConnectionConstraint{std::string(kReleaseRouteKey)});
--- a/src/mesh_grants_p.h
+++ b/src/mesh_grants_p.h
@@ -17,6 +17,15 @@
 
 namespace magnoliaarch {
 
+// A release that is complete: the target has answered it, or its grants have lapsed without an answer.
+struct CompletedRelease {
+  // Identifies the release among all that this process has begun. Keys, owner and fence do not: they stay the same if
+  // the owner gets its keys back and they move again.
+  std::uint64_t number = 0;
+  proto::KeyRange range;
+  std::string handover;  // empty if there is none
+};
+
 struct KeyGrantsHooks {
   // Time until which this node's lease allows it to guarantee its grants.
   std::function<TimePoint()> authority_end;
@@ -32,8 +41,8 @@
   std::function<void()> on_granted;
   // A grant call has ended whose range changed while the call was in flight. A release may have waited for this end.
   std::function<void()> on_call_settled;
-  // The target no longer holds a range that has a planned successor.
-  std::function<void(const proto::KeyRange& range, const std::string& handover)> on_released;
+  // The target no longer holds a range that has a planned successor. Called again until the table shows the move.
+  std::function<void(const CompletedRelease& release)> on_released;
   // Grants under these fences are no longer possible: the target has seen higher ones for their keys, or the keys were
   // forfeited. Called again until the table has other fences.
   std::function<void(const std::set<std::uint64_t>& fences)> on_fences_refused;
@@ -69,6 +78,10 @@
   // grant duration that the target accepts.
   void Reconcile(const proto::KeyTable& table, bool renew, Duration max_hold, TimePoint now);
 
+  // Whether the release goes on or is complete, and the target has been granted none of its keys since. Only then may
+  // the keys be given to their successor.
+  bool IsInForce(std::uint64_t release_number) const;
+
   // Whether the target may still hold keys under grants of this node or of an earlier run of it.
   bool MayHoldKeys(TimePoint now) const;
   // First and last key of each granted range.
@@ -87,7 +100,7 @@
     bool release_deferred = false;  // the release waits until an unanswered grant has lapsed
   };
   struct Release {
-    std::uint64_t number = 0;  // identifies the release in the log
+    std::uint64_t number = 0;
     proto::KeyRange range;
     TimePoint sent_at;
     int send_count = 0;
--- a/src/mesh_node.cc
+++ b/src/mesh_node.cc
@@ -90,7 +90,11 @@
                 }),
         m_session(m_timers, m_store, *m_wire, m_log, SelfRecord(), m_settings.bounds.min_lease, SessionHooks()),
         m_coordinator(m_session, m_log, m_settings.node, m_incarnation, CoordinatorHooks()),
-        m_table_writer(m_timers, m_session, m_log, m_settings.service),
+        m_table_writer(m_timers,
+                       m_session,
+                       m_log,
+                       m_settings.service,
+                       [this](std::uint64_t release) { return m_target.IsReleaseInForce(release); }),
         m_chain_control(m_log, m_metrics, m_incarnation, ChainHooks()),
         m_target(m_context, m_timers, *m_wire, m_log, TargetOptions(), TargetHooks()),
         m_ingress(m_timers, *m_wire, m_log, m_metrics, IngressOptions(), IngressHooks()),
@@ -267,9 +271,7 @@
     };
     hooks.is_earlier_fence = [this](std::uint64_t fence) { return EraOfFence(fence) < m_session.Era(); };
     hooks.view = [this]() -> const MeshView& { return m_session.View(); };
-    hooks.on_released = [this](const proto::KeyRange& range, const std::string& handover) {
-      m_table_writer.CompleteRelease(range, handover);
-    };
+    hooks.on_released = [this](const CompletedRelease& release) { m_table_writer.CompleteRelease(release); };
     hooks.on_fences_refused = [this](const std::set<std::uint64_t>& fences) {
       m_table_writer.RaiseRefusedFences(LocalTargetLife(), fences);
     };
--- a/src/mesh_table_writer.cc
+++ b/src/mesh_table_writer.cc
@@ -1,6 +1,7 @@
 #include "mesh_table_writer_p.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "mesh_eras_p.h"
 #include "mesh_keys_p.h"
@@ -15,8 +16,29 @@
 
 }  // namespace
 
-TableWriter::TableWriter(TimerQueue& timers, MeshSession& session, MeshLog& log, std::string service)
-    : m_timers(timers), m_session(session), m_log(log), m_service(std::move(service)) {}
+bool CompleteMoves(proto::KeyTable* table,
+                   const std::vector<CompletedRelease>& releases,
+                   const ReleaseCheck& is_in_force) {
+  bool changed = false;
+  for (const CompletedRelease& release : releases) {
+    const proto::KeyRange& range = release.range;
+    changed = (is_in_force(release.number) &&
+               CompleteMove(table, range.owner(), range.first(), range.last(), range.fence(), release.handover)) ||
+              changed;
+  }
+  return changed;
+}
+
+TableWriter::TableWriter(TimerQueue& timers,
+                         MeshSession& session,
+                         MeshLog& log,
+                         std::string service,
+                         ReleaseCheck is_in_force)
+    : m_timers(timers),
+      m_session(session),
+      m_log(log),
+      m_service(std::move(service)),
+      m_is_in_force(std::move(is_in_force)) {}
 
 void TableWriter::UpdateTable(const std::function<bool(proto::KeyTable*)>& update,
                               std::string_view operation,
@@ -53,12 +75,11 @@
   });
 }
 
-void TableWriter::CompleteRelease(const proto::KeyRange& range, const std::string& handover) {
-  const bool is_queued = std::any_of(m_unwritten_releases.begin(), m_unwritten_releases.end(), [&](const auto& queued) {
-    return queued.first.first() == range.first() && queued.first.fence() == range.fence();
-  });
+void TableWriter::CompleteRelease(const CompletedRelease& release) {
+  const bool is_queued = std::any_of(m_unwritten_releases.begin(), m_unwritten_releases.end(),
+                                     [&](const auto& queued) { return queued.number == release.number; });
   if (!is_queued) {
-    m_unwritten_releases.emplace_back(range, handover);
+    m_unwritten_releases.push_back(release);
   }
   if (m_release_timer != 0 || m_writing_releases) {
     return;
@@ -71,21 +92,15 @@
 
 void TableWriter::WriteReleases() {
   m_writing_releases = true;
-  UpdateTable(
-      [releases = std::exchange(m_unwritten_releases, {})](proto::KeyTable* table) {
-        bool changed = false;
-        for (const auto& [range, handover] : releases) {
-          changed = CompleteMove(table, range.owner(), range.first(), range.last(), range.fence(), handover) || changed;
-        }
-        return changed;
-      },
-      "release",
-      [this] {
-        m_writing_releases = false;
-        if (!m_unwritten_releases.empty()) {
-          WriteReleases();
-        }
-      });
+  UpdateTable([this, releases = std::exchange(m_unwritten_releases, {})](
+                  proto::KeyTable* table) { return CompleteMoves(table, releases, m_is_in_force); },
+              "release",
+              [this] {
+                m_writing_releases = false;
+                if (!m_unwritten_releases.empty()) {
+                  WriteReleases();
+                }
+              });
 }
 
 void TableWriter::RaiseRefusedFences(const proto::TargetLife& life, const std::set<std::uint64_t>& fences) {
--- a/src/mesh_table_writer_p.h
+++ b/src/mesh_table_writer_p.h
@@ -9,22 +9,31 @@
 #include <set>
 #include <string>
 #include <string_view>
-#include <utility>
 #include <vector>
 
 #include "mesh.pb.h"
+#include "mesh_grants_p.h"
 #include "mesh_log_p.h"
 #include "mesh_session_p.h"
 #include "mesh_timer_p.h"
 
 namespace magnoliaarch {
 
+using ReleaseCheck = std::function<bool(std::uint64_t release_number)>;
+
+// Gives the keys of these releases to their successors. Skips releases that are no longer in force: their owner may
+// have been granted the keys again, and a range that moves once more looks the same as before. Returns whether the
+// table has changed.
+bool CompleteMoves(proto::KeyTable* table,
+                   const std::vector<CompletedRelease>& releases,
+                   const ReleaseCheck& is_in_force);
+
 class TableWriter {
  public:
-  TableWriter(TimerQueue& timers, MeshSession& session, MeshLog& log, std::string service);
+  TableWriter(TimerQueue& timers, MeshSession& session, MeshLog& log, std::string service, ReleaseCheck is_in_force);
 
   // Records that the target has released the range. Releases that end within a few milliseconds share one write.
-  void CompleteRelease(const proto::KeyRange& range, const std::string& handover);
+  void CompleteRelease(const CompletedRelease& release);
   // Raises these fences, which the target has refused because it has seen higher ones for their keys.
   void RaiseRefusedFences(const proto::TargetLife& life, const std::set<std::uint64_t>& fences);
 
@@ -40,7 +49,8 @@
   MeshSession& m_session;
   MeshLog& m_log;
   const std::string m_service;
-  std::vector<std::pair<proto::KeyRange, std::string>> m_unwritten_releases;
+  const ReleaseCheck m_is_in_force;
+  std::vector<CompletedRelease> m_unwritten_releases;
   TimerId m_release_timer = 0;
   bool m_writing_releases = false;
 };
--- a/src/mesh_target_p.h
+++ b/src/mesh_target_p.h
@@ -45,8 +45,8 @@
   // Whether the fence belongs to an earlier era of the store. Null: never.
   std::function<bool(std::uint64_t fence)> is_earlier_fence;
   std::function<const MeshView&()> view;
-  // The target no longer holds a range that has a planned successor.
-  std::function<void(const proto::KeyRange& range, const std::string& handover)> on_released;
+  // As in KeyGrantsHooks.
+  std::function<void(const CompletedRelease& release)> on_released;
   // The target has refused grants, because it has seen higher fences for their keys.
   std::function<void(const std::set<std::uint64_t>& fences)> on_fences_refused;
   // The target report has changed in a way that must be sent to other nodes without delay.
@@ -92,6 +92,8 @@
   void RefuseNew() { m_refuses_new = true; }
 
   proto::TargetReport Report(TimePoint now);
+  // As in KeyGrants.
+  bool IsReleaseInForce(std::uint64_t release_number) const { return m_grants.IsInForce(release_number); }
   // Whether the target may still hold keys under grants of this node.
   bool MayHoldKeys(TimePoint now) const;
   std::size_t InProgress() const { return m_requests.size(); }
--- a/tests/mesh_keys_test.cc
+++ b/tests/mesh_keys_test.cc
@@ -7,6 +7,7 @@
 
 #include <catch2/catch.hpp>
 
+#include "mesh_table_writer_p.h"
 #include "mesh_util.h"
 #include "mesh_view_p.h"
 
@@ -252,6 +253,19 @@
     CHECK_FALSE(CompleteMove(&plan.table, moved.owner(), moved.first(), moved.last(), moved.fence(), "token"));
   }
 
+  // Guards against a move that is completed by a release of an earlier move of the same keys: the completion waited for
+  // its write while the owner got the keys back and they moved again, under the same fence (review/6).
+  SECTION("a completed release gives away its keys only while it is in force") {
+    proto::KeyTable moving = table;
+    proto::KeyRange* range = moving.mutable_ranges(1);
+    *range->mutable_successor() = table.ranges(0).owner();
+    const std::vector<CompletedRelease> releases = {CompletedRelease{7, *range, "token"}};
+    CHECK_FALSE(CompleteMoves(&moving, releases, [](std::uint64_t number) { return number != 7; }));
+    CHECK(moving.ranges(1).has_successor());
+    CHECK(CompleteMoves(&moving, releases, [](std::uint64_t number) { return number == 7; }));
+    CHECK(moving.ranges(1).owner().node() == table.ranges(0).owner().node());
+  }
+
   // Guards against a plan that waits for a successor that has ended.
   SECTION("a successor that has ended is replaced or removed") {
     std::vector<KeyTarget> leaving = targets;
--- a/tests/mesh_target_fixture.h
+++ b/tests/mesh_target_fixture.h
@@ -50,6 +50,13 @@
   }
   // Closes the port and all connections, like a crash of the process.
   void Crash() { m_server.reset(); }
+  // Answers a release that has had no answer, by the order of arrival from 0.
+  void AnswerRelease(std::size_t index) {
+    HttpMessage answer;
+    answer.status = 200;
+    answer.headers = {{"Handover", "token" + std::to_string(index)}};
+    m_releases.at(index)->Respond(std::move(answer));
+  }
   void AnswerAll() {
     for (const auto& exchange : std::exchange(running_requests, {})) {
       HttpMessage answer;
@@ -71,6 +78,9 @@
       events.push_back((grant ? "grant " : "release ") + std::to_string(body["from"].get<int>()) + " " +
                        std::to_string(body["fence"].get<int>()));
       m_unanswered.push_back(exchange);
+      if (!grant) {
+        m_releases.push_back(exchange);
+      }
       if (grant ? answer_grants : answer_releases) {
         answer.status = grant ? grant_status : 200;
         answer.headers = {{"Handover", "token"}};
@@ -94,6 +104,7 @@
 
   std::unique_ptr<Http1Server> m_server;
   std::vector<std::shared_ptr<HttpExchange>> m_unanswered;
+  std::vector<std::shared_ptr<HttpExchange>> m_releases;
 };
 
 inline constexpr const char* kTargetConfig =
@@ -130,8 +141,8 @@
     MeshTargetHooks hooks;
     hooks.authority_end = [this] { return authority_end.value_or(BootClock::now() + std::chrono::seconds(5)); };
     hooks.view = [this]() -> const MeshView& { return view; };
-    hooks.on_released = [this](const proto::KeyRange& range, const std::string& handover) {
-      released.emplace_back(range.first(), handover);
+    hooks.on_released = [this](const CompletedRelease& release) {
+      released.emplace_back(release.range.first(), release.handover);
     };
     hooks.on_fences_refused = [this](const std::set<std::uint64_t>& fences) { refused_fences = fences; };
     hooks.on_changed = [this] { ++changes; };
@@ -182,7 +193,8 @@
     view.Apply(item);
     target.OnViewChanged();
   }
-  // Plans moves of all keys from the target: pairs of the last key of each range and its new node.
+  // Plans moves of all keys from the target: pairs of the last key of each range and its new node, empty for a range
+  // that stays.
   void PlanMoves(std::uint64_t fence,
                  std::int64_t start,
                  const std::vector<std::pair<std::uint32_t, std::string>>& moves) {
@@ -196,8 +208,10 @@
       range->mutable_owner()->set_id("t1");
       range->mutable_owner()->set_start_ms(start);
       range->set_fence(fence);
-      range->mutable_successor()->set_node(to);
-      range->mutable_successor()->set_id("t-" + to);
+      if (!to.empty()) {
+        range->mutable_successor()->set_node(to);
+        range->mutable_successor()->set_id("t-" + to);
+      }
       first = last + 1;
     }
     table.set_last_fence(fence);
--- a/tests/mesh_target_test.cc
+++ b/tests/mesh_target_test.cc
@@ -147,6 +147,35 @@
     REQUIRE(node.WaitUntil([&] { return !node.released.empty(); }));
     CHECK(BootClock::now() - start > milliseconds(1000));
   }
+  // Guards against two targets at work on one key: the successor left, the owner got its keys back under the same
+  // fence, and the answer to the first release completed the second move (review/6).
+  SECTION("the answer to a release completes no later move of the same keys") {
+    node.target_server.answer_releases = false;
+    node.AssignAllKeys(3, 1, true);
+    REQUIRE(node.WaitUntil([&] { return node.target_server.Count("release 0 3") == 1; }));
+    node.AssignAllKeys(3, 1);
+    REQUIRE(node.WaitUntil([&] { return node.target_server.Count("grant 0 3") == 2; }));
+    node.WaitUntil([] { return false; }, milliseconds(20));
+    node.AssignAllKeys(3, 1, true);
+    REQUIRE(node.WaitUntil([&] { return node.target_server.Count("release 0 3") == 2; }));
+    node.target_server.AnswerRelease(0);
+    node.WaitUntil([] { return false; }, milliseconds(300));
+    CHECK(node.released.empty());
+    node.target_server.AnswerRelease(1);
+    REQUIRE(node.WaitUntil([&] { return !node.released.empty(); }, milliseconds(300)));
+    CHECK(node.released[0].second == "token1");
+  }
+  // Guards against refused requests for keys that their owner has kept: a release was dropped only if no moving range
+  // began with its first key.
+  SECTION("the keys that stay are served when only a part of a released range moves on") {
+    node.target_server.answer_releases = false;
+    node.PlanMoves(3, 1, {{kMaxKey, "n2"}});
+    REQUIRE(node.WaitUntil([&] { return node.target_server.Count("release 0 3") == 1; }));
+    node.PlanMoves(3, 1, {{6, "n2"}, {kMaxKey, ""}});
+    REQUIRE(node.WaitUntil([&] { return node.target_server.Count("grant 7 3") == 1; }));
+    node.Send(1, true, true);
+    REQUIRE(node.WaitUntil([&] { return node.target_server.Count("run r1") == 1; }, milliseconds(300)));
+  }
   SECTION("an answered release is not repeated when the moving ranges change") {
     const TimePoint start = BootClock::now();
     node.PlanMoves(3, 1, {{100, "n2"}, {kMaxKey, "n3"}});
