Record that a target has left before the leave is acknowledged

Cause: that a target has left was kept in its node's memory. A restarted node took a heartbeat from before the leave for a sign of a target in use. Evidence: the requests begin with target_started of the new process, whose sequence number is the late heartbeat's; none reached the target between the node's restart and that line. A process that starts reads the record before it registers a target. Requests stop at once as before, also while the store is away; the leave is then not acknowledged. Why this works: what an acknowledgement binds now outlasts every process, and no process uses a target before it knows the record.

--- a/src/mesh_node.cc
+++ b/src/mesh_node.cc
@@ -14,6 +14,7 @@
 #include "memory_budget_p.h"
 #include "mesh_chain_control_p.h"
 #include "mesh_coordinator_p.h"
+#include "mesh_departure_p.h"
 #include "mesh_domain_control_p.h"
 #include "mesh_eras_p.h"
 #include "mesh_head_p.h"
@@ -66,6 +67,11 @@
   return stat(path.c_str(), &info) == 0 ? info.st_mtim.tv_sec * 1'000'000'000LL + info.st_mtim.tv_nsec : 0;
 }
 
+std::int64_t UnixMs() {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
 }  // namespace
 
 class MeshNode::Impl {
@@ -89,6 +95,7 @@
                   return Relay(call, timeout, std::move(done));
                 }),
         m_session(m_timers, m_store, *m_wire, m_log, SelfRecord(), m_settings.bounds.min_lease, SessionHooks()),
+        m_departures(m_timers, m_store, m_log, m_settings.node, [this] { m_target.OnViewChanged(); }),
         m_coordinator(m_session, m_log, m_settings.node, m_incarnation, CoordinatorHooks()),
         m_table_writer(m_timers,
                        m_session,
@@ -143,6 +150,7 @@
     m_reports.AddExtension(DomainExtension());
     WaitForSignal();
     m_session.Start();
+    m_departures.Read();
     Tick();
     RunEventLoop();
     m_log.Write(LogCategory::kState, "stopped", {{"cut", m_requests_cut}});
@@ -232,7 +240,11 @@
   MeshSessionHooks SessionHooks() {
     MeshSessionHooks hooks;
     hooks.on_view = [this] { OnViewChanged(); };
-    hooks.on_registered = [this] { m_reports.ReportSoon(); };
+    hooks.on_registered = [this] {
+      m_reports.ReportSoon();
+      // The store is reached: a target that waits for the record need not wait for the next attempt.
+      m_departures.Read();
+    };
     return hooks;
   }
 
@@ -255,10 +267,7 @@
       m_session.Write(std::move(txn), std::move(done));
     };
     hooks.hints = [this]() -> const std::map<std::string, TargetHint>& { return m_ingress.Hints(); };
-    hooks.unix_ms = [] {
-      return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch())
-          .count();
-    };
+    hooks.unix_ms = UnixMs;
     return hooks;
   }
 
@@ -271,6 +280,9 @@
     };
     hooks.is_earlier_fence = [this](std::uint64_t fence) { return EraOfFence(fence) < m_session.Era(); };
     hooks.view = [this]() -> const MeshView& { return m_session.View(); };
+    hooks.has_left = [this](const std::string& id, std::int64_t start_ms) {
+      return m_departures.HasLeft(id, start_ms);
+    };
     hooks.on_released = [this](const CompletedRelease& release) { m_table_writer.CompleteRelease(release); };
     hooks.on_fences_refused = [this](const std::set<std::uint64_t>& fences) {
       m_table_writer.RaiseRefusedFences(LocalTargetLife(), fences);
@@ -390,7 +402,17 @@
       if (!call.ok()) {
         m_log.Write(LogCategory::kFailure, "registration_unreadable", {{"why", std::string(call.status().message())}});
       }
-      exchange->Respond(m_wire->TargetCallAnswer(call.ok() ? m_target.OnCall(*call) : call.status()));
+      const absl::Status status = call.ok() ? m_target.OnCall(*call) : call.status();
+      const auto departed = status.ok() ? m_target.DepartureOf(*call, UnixMs()) : std::nullopt;
+      if (!departed) {
+        exchange->Respond(m_wire->TargetCallAnswer(status));
+        return;
+      }
+      // The leave takes effect at once. Its acknowledgement binds the next run of this node too, so it waits until the
+      // store holds the record.
+      m_departures.Record(*departed, [this, exchange](const absl::Status& recorded) {
+        exchange->Respond(m_wire->TargetCallAnswer(recorded));
+      });
     };
   }
 
@@ -624,6 +646,7 @@
     }
     m_session.SetMustWatch(m_coordinator.IsCoordinator());
     m_session.OnTick(now);
+    m_departures.OnTick();
     m_coordinator.OnTick(now, m_store.IsReachable(), m_stop.Begun());
     m_chain_control.OnTick(now);
     m_target.OnTick(now);
@@ -801,6 +824,7 @@
   MeshPeers m_peers;
   MeshStore m_store;
   MeshSession m_session;
+  DepartureRecord m_departures;
   CoordinatorRole m_coordinator;
   TableWriter m_table_writer;
   ChainControl m_chain_control;
--- a/src/mesh_target.cc
+++ b/src/mesh_target.cc
@@ -523,7 +523,7 @@
   if (same_life && heartbeat.sequence <= m_heartbeat->sequence) {
     return absl::OkStatus();
   }
-  if (!same_life && MayHoldKeysOfAnotherLife(heartbeat, BootClock::now())) {
+  if (!same_life && MustWait(heartbeat, BootClock::now())) {
     if (!m_deferred_start) {
       m_log.Write(LogCategory::kState, "target_start_waits", {{"id", heartbeat.id}, {"start_ms", heartbeat.start_ms}});
       m_hooks.on_changed();
@@ -560,6 +560,38 @@
   return absl::OkStatus();
 }
 
+std::optional<proto::TargetLife> MeshTarget::DepartureOf(const TargetCall& call, std::int64_t unix_ms) const {
+  const bool leaves = call.kind == TargetCall::Kind::kLeave;
+  if (!leaves && !call.heartbeat.draining) {
+    return std::nullopt;
+  }
+  const auto is_meant = [&](const TargetHeartbeat& life) {
+    return life.id == call.id && (leaves || life.start_ms == call.heartbeat.start_ms);
+  };
+  proto::TargetLife life;
+  life.set_node(m_options.node);
+  life.set_id(call.id);
+  if (m_deferred_start && is_meant(m_deferred_start->heartbeat)) {
+    life.set_start_ms(m_deferred_start->heartbeat.start_ms);
+  } else if (m_heartbeat && is_meant(*m_heartbeat)) {
+    life.set_start_ms(m_heartbeat->start_ms);
+  } else if (leaves && !m_heartbeat && !m_deferred_start) {
+    life.set_start_ms(unix_ms);
+  } else {
+    return std::nullopt;
+  }
+  return life;
+}
+
+bool MeshTarget::HasLeft(const TargetHeartbeat& heartbeat) const {
+  return m_hooks.has_left && m_hooks.has_left(heartbeat.id, heartbeat.start_ms).value_or(false);
+}
+
+bool MeshTarget::MustWait(const TargetHeartbeat& heartbeat, TimePoint now) const {
+  const bool record_known = !m_hooks.has_left || m_hooks.has_left(heartbeat.id, heartbeat.start_ms).has_value();
+  return !record_known || MayHoldKeysOfAnotherLife(heartbeat, now);
+}
+
 // A grant takes effect at the life that has the address when it arrives. Heartbeats may arrive late, so they do not
 // tell which life that was.
 bool MeshTarget::MayHoldKeysOfAnotherLife(const TargetHeartbeat& heartbeat, TimePoint now) const {
@@ -591,7 +623,7 @@
 }
 
 void MeshTarget::AcceptDeferredStart(TimePoint now) {
-  if (!m_deferred_start || MayHoldKeysOfAnotherLife(m_deferred_start->heartbeat, now)) {
+  if (!m_deferred_start || MustWait(m_deferred_start->heartbeat, now)) {
     return;
   }
   const TargetCall call = *std::exchange(m_deferred_start, std::nullopt);
@@ -618,6 +650,11 @@
   m_version_evidence.Reset();
   m_evidence = TargetEvidence();
   m_leaving_since.reset();
+  if (HasLeft(heartbeat)) {
+    // The time of the leave is not known, so no time to serve is left.
+    m_leaving_since = BootClock::now() - m_options.bounds->drain;
+    m_log.Write(LogCategory::kState, "target_leaves", {{"id", heartbeat.id}, {"how", "had_left"}});
+  }
   m_client.CloseIdle(TimePoint::max());
   m_key_client.CloseIdle(TimePoint::max());
 }
--- a/src/mesh_target_p.h
+++ b/src/mesh_target_p.h
@@ -45,6 +45,9 @@
   // Whether the fence belongs to an earlier era of the store. Null: never.
   std::function<bool(std::uint64_t fence)> is_earlier_fence;
   std::function<const MeshView&()> view;
+  // Whether this life of the target has left according to the node's record, which outlasts a restart of the node;
+  // nullopt until the record has been read. Null: no life has.
+  std::function<std::optional<bool>(const std::string& id, std::int64_t start_ms)> has_left;
   // As in KeyGrantsHooks.
   std::function<void(const CompletedRelease& release)> on_released;
   // The target has refused grants, because it has seen higher fences for their keys.
@@ -84,6 +87,9 @@
   void Abandon(AdmissionTicket ticket);
 
   absl::Status OnCall(const TargetCall& call);
+  // The life that leaves or drains according to a call that OnCall has accepted; nullopt if none does. A restarted node
+  // may hear of the leave of a life that it does not know; `unix_ms`, the time, then stands for the start of that life.
+  std::optional<proto::TargetLife> DepartureOf(const TargetCall& call, std::int64_t unix_ms) const;
   void OnViewChanged();
   void OnTick(TimePoint now);
   // The node is stopping: reports the target as leaving, so that its keys move away. Requests in progress go on.
@@ -148,7 +154,11 @@
   // that of the heartbeat.
   bool MayHoldKeysOfAnotherLife(const TargetHeartbeat& heartbeat, TimePoint now) const;
   bool MayOwnKeys(TimePoint now, const TargetHeartbeat* except) const;
-  // Registers the life that waits, once no grant that was meant for another life can be in force.
+  // Whether a new life must wait for its registration: it may have left before this node restarted, or it may hold keys
+  // of another life.
+  bool MustWait(const TargetHeartbeat& heartbeat, TimePoint now) const;
+  bool HasLeft(const TargetHeartbeat& heartbeat) const;
+  // Registers the life that waits, once it need not wait any more.
   void AcceptDeferredStart(TimePoint now);
   void BeginLife(const TargetHeartbeat& heartbeat);
   // Sets the cold limit according to the current configuration.
--- a/tests/mesh_process_tests.py
+++ b/tests/mesh_process_tests.py
@@ -15,7 +15,7 @@
 
 from mesh_soak_checks import Checks
 from mesh_soak_load import SoakTarget
-from mesh_world import BUILD, CONFIGURATION_S, CONTACT_RESTORED_S, LEASE_S, PORTS, Mesh, wait_until
+from mesh_world import BUILD, CONFIGURATION_S, CONTACT_RESTORED_S, LEASE_S, PORTS, Mesh, call, wait_until
 
 RESTART_S = 3.0  # bound for a restarted node to serve its target's keys
 SLOW_NODE_S = 1.3  # longer than a node waits for another node's answer to a ping
@@ -27,7 +27,7 @@
     def __init__(self, mesh, nodes, route, keyed, method="GET"):
         self.answers = []
         self.stopped = threading.Event()
-        self.threads = [threading.Thread(target=self.run, args=(mesh, node, route, keyed, method, number))
+        self.threads = [threading.Thread(target=self.run, args=(mesh, node, route, keyed, method, number), daemon=True)
                         for number, node in enumerate(nodes * 2)]
         for thread in self.threads:
             thread.start()
@@ -64,6 +64,29 @@
             hold.life == f"{self.id}#1" for hold in self.key_holds) else 0
 
 
+class LeavingTarget(SoakTarget):
+    """A target that leaves without having drained, and can send a heartbeat from before its leave later."""
+
+    left = False
+
+    def send_heartbeat(self):
+        return 0 if self.left else super().send_heartbeat()
+
+    def leave(self):
+        self.left = True
+        try:
+            return call(self.registration, "DELETE", f"/api/instances/{self.id}", timeout=1).status
+        except (OSError, http.client.HTTPException):
+            return 0  # not acknowledged in time
+
+    def send_late_heartbeat(self):
+        return super().send_heartbeat()
+
+    def restart(self):
+        self.crash(0.1, False, True)
+        self.left = False
+
+
 # ---- Cases ----
 
 
@@ -308,6 +331,55 @@
         check(len(bad) <= len(answers) / 100, f"{len(bad)} of {len(answers)} not served: {bad[:5]}")
 
 
+def case_a_target_that_left_before_a_restart_of_its_node_stays_out_of_use():
+    """Guards against requests at a target that has left: its node restarts and gets a late heartbeat from before the leave
+    (DRAIN, review/7)."""
+    with Mesh(make_target=lambda *where: LeavingTarget(*where, random.Random(1))) as mesh:
+        leaving = {"killed": mesh.nodes[0], "stopped": mesh.nodes[3]}  # a sharded and a balanced service
+        loads = [BackgroundLoad(mesh, mesh.nodes[1:3], "look", True), BackgroundLoad(mesh, mesh.nodes[1:3], "read", False)]
+        for how, node in leaving.items():
+            check(node.target.leave() == 200, f"{how}: the leave is acknowledged")
+            node.child.send_signal(signal.SIGKILL if how == "killed" else signal.SIGTERM)
+            node.child.wait(10)
+            node.start()
+        wait_until(mesh.all_ready, "the restarted nodes are ready", 10)
+        runs = {how: len(node.target.soak_runs) for how, node in leaving.items()}
+        for how, node in leaving.items():
+            check(node.target.send_late_heartbeat() == 200, f"{how}: the late heartbeat is answered")
+        time.sleep(3)
+        for how, node in leaving.items():
+            late = len(node.target.soak_runs) - runs[how]
+            check(late == 0, f"{how}: {late} requests reached the target after its leave was acknowledged")
+        check(all(mesh.serves(mesh.nodes[1], "look", key) for key in range(0, 65536, 6000)), "all keys are served")
+        check(mesh.serves(mesh.nodes[1], "read"), "balanced requests are served")
+        for how, node in leaving.items():
+            node.target.restart()
+            wait_until(lambda target=node.target, before=runs[how]: len(target.soak_runs) > before,
+                       f"{how}: the next life is used", 10)
+        for load in loads:
+            load.stop()
+
+
+def case_a_leave_is_acknowledged_only_when_it_outlasts_a_restart_of_the_node():
+    """Guards against an acknowledged leave that only the memory of a node holds (DRAIN, review/7), and against requests at
+    a target whose leave could not be recorded yet."""
+    with Mesh(make_target=lambda *where: LeavingTarget(*where, random.Random(1))) as mesh:
+        target = mesh.targets[3]
+        load = BackgroundLoad(mesh, mesh.nodes[:3], "read", False)
+        wait_until(lambda: len(target.soak_runs) > 5, "the target is in use", 5)
+        mesh.set_store_fault(down=True)
+        check(target.leave() != 200, "without the store the leave is not acknowledged")
+        time.sleep(0.5)
+        runs = len(target.soak_runs)
+        time.sleep(1)
+        check(len(target.soak_runs) == runs, "no request reaches the target meanwhile")
+        mesh.set_store_fault(down=False)
+        wait_until(lambda: target.leave() == 200, "the leave is acknowledged when the store is back", 3)
+        answers = load.stop()
+        bad = [answer for answer in answers if answer[2] != 200]
+        check(not bad, f"{len(bad)} of {len(answers)} not served: {bad[:5]}")
+
+
 def case_an_evacuated_failure_domain_gets_no_requests():
     """Guards against requests in an evacuated failure domain (EVAC)."""
     with Mesh() as mesh:
--- a/tests/mesh_target_fixture.h
+++ b/tests/mesh_target_fixture.h
@@ -141,6 +141,9 @@
     MeshTargetHooks hooks;
     hooks.authority_end = [this] { return authority_end.value_or(BootClock::now() + std::chrono::seconds(5)); };
     hooks.view = [this]() -> const MeshView& { return view; };
+    hooks.has_left = [this](const std::string& id, std::int64_t start_ms) {
+      return has_left ? has_left(id, start_ms) : std::optional<bool>(false);
+    };
     hooks.on_released = [this](const CompletedRelease& release) {
       released.emplace_back(release.range.first(), release.handover);
     };
@@ -265,6 +268,7 @@
   MeshBounds bounds;
   MeshView view;
   std::optional<TimePoint> authority_end;
+  std::function<std::optional<bool>(const std::string& id, std::int64_t start_ms)> has_left;  // null: none has
   int changes = 0;
   std::vector<std::pair<std::uint32_t, std::string>> released;
   std::set<std::uint64_t> refused_fences;
