Give away the keys of a target that left before its node restarted

Only the memory of the killed process held that the target leaves. The new one hears nothing of it and reported nothing, and the coordinator reassigns only what is reported or has no member. Change: while no target is registered, a node reports as free the keys that the table gives to a life of its target that has left according to the record, once no grant of its earlier run can be in force.

--- a/src/mesh_target.cc
+++ b/src/mesh_target.cc
@@ -766,11 +766,30 @@
   }
 }
 
-proto::TargetReport MeshTarget::Report(TimePoint now) {
+proto::TargetReport MeshTarget::ReportOfDeparted(TimePoint now) const {
   proto::TargetReport report;
-  if (!m_heartbeat) {
+  const TableState* table = m_hooks.view().Table(m_options.service);
+  if (!m_hooks.has_left || table == nullptr || m_grants.MayHoldKeys(now)) {
     return report;
   }
+  for (const proto::KeyRange& range : table->table.ranges()) {
+    const proto::TargetLife& owner = range.owner();
+    if (owner.node() == m_options.node && m_hooks.has_left(owner.id(), owner.start_ms()) == true) {
+      report.set_id(owner.id());
+      report.set_start_ms(owner.start_ms());
+      report.set_leaving(true);
+      report.set_gone(true);
+      break;
+    }
+  }
+  return report;
+}
+
+proto::TargetReport MeshTarget::Report(TimePoint now) {
+  if (!m_heartbeat) {
+    return ReportOfDeparted(now);
+  }
+  proto::TargetReport report;
   report.set_id(m_heartbeat->id);
   report.set_start_ms(m_heartbeat->start_ms);
   report.set_accepts(MayServe(now) && !IsLeaving());
--- a/src/mesh_target_p.h
+++ b/src/mesh_target_p.h
@@ -158,6 +158,9 @@
   // of another life.
   bool MustWait(const TargetHeartbeat& heartbeat, TimePoint now) const;
   bool HasLeft(const TargetHeartbeat& heartbeat) const;
+  // Report while no life is registered. A life that left before this node restarted may not be heard of again, so the
+  // keys that the table still gives it are reported as free once no grant for it can be in force.
+  proto::TargetReport ReportOfDeparted(TimePoint now) const;
   // Registers the life that waits, once it need not wait any more.
   void AcceptDeferredStart(TimePoint now);
   void BeginLife(const TargetHeartbeat& heartbeat);
--- a/tests/mesh_departure_test.cc
+++ b/tests/mesh_departure_test.cc
@@ -242,6 +242,40 @@
   }
 }
 
+// Guards against keys without a server: a target left, its node restarted before the keys had moved, and nothing was
+// heard of the target any more.
+TEST_CASE("the keys of a target that left before its node restarted are reported as free") {
+  TargetFixture node("desk");
+  node.Configure();
+  node.has_left = [](const std::string& id, std::int64_t start_ms) { return id == "t1" && start_ms <= 7; };
+  const auto wait_for_earlier_grants = [&] { node.WaitUntil([] { return false; }, milliseconds(2000)); };
+
+  SECTION("once no grant of the node's earlier run can be in force") {
+    node.AssignAllKeys(3, 5);
+    const TimePoint start = BootClock::now();
+    CHECK(node.target.Report(start).id().empty());
+    REQUIRE(node.WaitUntil([&] { return node.target.Report(BootClock::now()).gone(); }));
+    CHECK(BootClock::now() - start > milliseconds(1500));
+    const proto::TargetReport report = node.target.Report(BootClock::now());
+    CHECK(report.id() == "t1");
+    CHECK(report.start_ms() == 5);
+    CHECK(report.leaving());
+    CHECK_FALSE(report.accepts());
+  }
+  SECTION("but not those of a later life, which may only be slow to call") {
+    node.AssignAllKeys(3, 8);
+    wait_for_earlier_grants();
+    CHECK(node.target.Report(BootClock::now()).id().empty());
+  }
+  SECTION("until a target registers") {
+    node.AssignAllKeys(3, 5);
+    wait_for_earlier_grants();
+    REQUIRE(node.SendHeartbeat(8, 1).ok());
+    REQUIRE(node.WaitUntil([&] { return node.target.Report(BootClock::now()).start_ms() == 8; }));
+    CHECK_FALSE(node.target.Report(BootClock::now()).gone());
+  }
+}
+
 TEST_CASE("the life that leaves is told by the call, or by the life that the node knows") {
   TargetFixture node("ledger");
   node.Configure();
--- a/tests/mesh_process_tests.py
+++ b/tests/mesh_process_tests.py
@@ -360,6 +360,19 @@
             load.stop()
 
 
+def case_the_keys_of_a_target_that_left_before_a_restart_of_its_node_move():
+    """Guards against keys without a server: the target left, and its node restarted before the keys had moved and hears nothing
+    of the target any more."""
+    with Mesh(make_target=lambda *where: LeavingTarget(*where, random.Random(1))) as mesh:
+        node = mesh.owner_of(30000)
+        other = next(other for other in mesh.nodes if other is not node)
+        check(node.target.leave() == 200, "the leave is acknowledged")
+        node.kill()
+        node.start()
+        wait_until(lambda: all(mesh.serves(other, "look", key) for key in range(0, 65536, 6000)), "all keys are served",
+                   RESTART_S + 3)
+
+
 def case_a_leave_is_acknowledged_only_when_it_outlasts_a_restart_of_the_node():
     """Guards against an acknowledged leave that only the memory of a node holds (DRAIN, review/7), and against requests at
     a target whose leave could not be recorded yet."""
