Keep a leave while the start of its target's life waits

A target that left while its registration waited for earlier grants could get requests until it ended. Cause: the wait kept the call that came last. A heartbeat from before the leave, or one that arrived out of order, replaced it. Change: calls of the life that waits are ordered by their sequence numbers, and a leave among them stays.

--- a/src/mesh_target.cc
+++ b/src/mesh_target.cc
@@ -507,7 +507,7 @@
     }
     return absl::OkStatus();
   }
-  const TargetHeartbeat& heartbeat = call.heartbeat;
+  TargetHeartbeat heartbeat = call.heartbeat;
   if (heartbeat.service != m_options.service || heartbeat.address != m_address) {
     m_log.Write(LogCategory::kFailure, "heartbeat_of_another_target",
                 {{"id", heartbeat.id}, {"service", heartbeat.service}, {"address", heartbeat.address}});
@@ -523,12 +523,20 @@
   if (same_life && heartbeat.sequence <= m_heartbeat->sequence) {
     return absl::OkStatus();
   }
+  if (m_deferred_start && m_deferred_start->id == heartbeat.id &&
+      m_deferred_start->heartbeat.start_ms == heartbeat.start_ms) {
+    if (heartbeat.sequence <= m_deferred_start->heartbeat.sequence) {
+      return absl::OkStatus();
+    }
+    // A life that leaves while it waits is known to leave by its deferred call only.
+    heartbeat.draining = heartbeat.draining || m_deferred_start->heartbeat.draining;
+  }
   if (!same_life && MustWait(heartbeat, BootClock::now())) {
     if (!m_deferred_start) {
       m_log.Write(LogCategory::kState, "target_start_waits", {{"id", heartbeat.id}, {"start_ms", heartbeat.start_ms}});
       m_hooks.on_changed();
     }
-    m_deferred_start = call;
+    m_deferred_start = TargetCall{call.kind, call.id, heartbeat};
     m_unconfirmed = true;
     return absl::OkStatus();
   }
--- a/tests/mesh_target_test.cc
+++ b/tests/mesh_target_test.cc
@@ -252,6 +252,16 @@
     leave.kind = TargetCall::Kind::kLeave;
     leave.id = "t1";
     REQUIRE(node.target.OnCall(leave).ok());
+    // Guards against a heartbeat from before the leave that replaces the call that waits (review/7).
+    SECTION("also if a heartbeat from before it arrives later") {
+      REQUIRE(node.SendHeartbeat(2, 2).ok());
+    }
+    REQUIRE(node.WaitUntil([&] { return node.target.Report(BootClock::now()).start_ms() == 2; }));
+    CHECK(node.target.Report(BootClock::now()).leaving());
+  }
+  SECTION("a heartbeat that arrives during this wait, out of order, is ignored") {
+    REQUIRE(node.SendHeartbeat(2, 4, 0, true).ok());
+    REQUIRE(node.SendHeartbeat(2, 3).ok());
     REQUIRE(node.WaitUntil([&] { return node.target.Report(BootClock::now()).start_ms() == 2; }));
     CHECK(node.target.Report(BootClock::now()).leaving());
   }
