Grant no keys at a node that starts in an evacuated domain

A target in an evacuated domain whose keys could not move got requests for 2.5 s more after each restart of its node. Cause: the time for which such a target may serve its keys was counted from the first time that the process knew of the evacuation, also if that was older. Change: an evacuation that the first records show leaves no time to serve. Measured: the new test case failed before and passes now.

--- a/src/mesh_target.cc
+++ b/src/mesh_target.cc
@@ -707,7 +707,8 @@
   const bool evacuated = m_hooks.view().IsEvacuated(m_options.domain);
   if (evacuated != m_evacuated_since.has_value()) {
     if (evacuated) {
-      m_evacuated_since = now;
+      // A node that starts does not know for how long, so no time to serve is left.
+      m_evacuated_since = m_operator_seen ? now : now - m_options.bounds->evacuate;
     } else {
       m_evacuated_since.reset();
       // The target may have become cold meanwhile; its next heartbeat gives the actual state.
@@ -717,6 +718,7 @@
     m_log.Write(LogCategory::kState, evacuated ? "domain_evacuated" : "domain_back", {{"domain", m_options.domain}});
     m_hooks.on_changed();
   }
+  m_operator_seen = m_operator_seen || m_hooks.view().Config() != nullptr;
   ApplyColdLimit();
   AcceptDeferredStart(now);
   Reconcile(now);
--- a/src/mesh_target_p.h
+++ b/src/mesh_target_p.h
@@ -192,7 +192,8 @@
   bool m_connection_refused = false;  // a connection has been refused since the last contact
   std::optional<TimePoint> m_leaving_since;
   std::optional<TimePoint> m_evacuated_since;
-  TimePoint m_cold_until;  // as reported by the target, or assumed after an evacuation
+  bool m_operator_seen = false;  // the replica has had the operator's records before
+  TimePoint m_cold_until;        // as reported by the target, or assumed after an evacuation
   TimePoint m_last_contact_at;
   std::optional<TargetCall> m_deferred_start;  // latest heartbeat of a new life that may hold keys under earlier grants
   int m_consecutive_failures = 0;              // since the last contact
--- a/tests/mesh_registration_test.cc
+++ b/tests/mesh_registration_test.cc
@@ -99,6 +99,26 @@
   }
 }
 
+// Guards against requests in an evacuated failure domain after the bound: the time that a target may still serve its
+// keys began anew when its node restarted (found while tracing review/7).
+TEST_CASE("a node that starts in an evacuated failure domain grants no keys") {
+  TargetFixture node("desk");
+  proto::ViewItem item;
+  item.set_key("op/evacuate/z1");
+  item.set_value("{}");
+  item.set_revision(++node.revision);
+  node.view.Apply(item);
+  node.Configure();
+  REQUIRE(node.SendHeartbeat(1, 4).ok());
+  node.AssignAllKeys(3, 1);
+  node.Send(1, true, true);
+  REQUIRE(node.WaitUntil([&] { return node.answers.contains(1); }, milliseconds(300)));
+  CHECK(node.answers[1].reason() == proto::MESH_DRAINING);
+  CHECK(node.target_server.Count("grant") == 0);
+  CHECK_FALSE(node.target.Report(BootClock::now()).gone());
+  REQUIRE(node.WaitUntil([&] { return node.target.Report(BootClock::now()).gone(); }));
+}
+
 // Guards against two owners of a key: the keys of a target that was reported gone were being given away by a write that
 // does not depend on the target, while it answered again and its node renewed the grants.
 TEST_CASE("keys that were reported as free are granted again only under a new fence") {
