Bind the leave of a target that the node has not heard of

Cause: a restarted target left before its first heartbeat had arrived. Its node still knew the target's former id, acknowledged the leave and forgot it; the heartbeat then brought the target into use. Change: each target id has a record of its own, so that leaves do not replace each other. The leave of a life that the node does not know, or whose known life has left before, binds each life of that id which has started until then. An id that cannot be part of a key is refused, so that it cannot hold up the other records.

--- a/src/mesh_departure.cc
+++ b/src/mesh_departure.cc
@@ -4,60 +4,73 @@
 #include <utility>
 
 #include "mesh_eras_p.h"
-#include "mesh_view_p.h"
 
 namespace magnoliaarch {
 namespace {
 
-// The longest lease that the platform's store grants. The record then goes by itself, also when its host is gone for
+// The longest lease that the platform's store grants. The records then go by themselves, also when the host is gone for
 // good; heartbeats arrive seconds late, and a target that has left ends within seconds.
 constexpr Duration kRecordDuration = std::chrono::minutes(10);
 constexpr Duration kMinRetryDelay = std::chrono::milliseconds(150);
 constexpr Duration kMaxRetryDelay = std::chrono::milliseconds(1000);
+// Limits of the platform's store: 32 entries in one write, of which each record takes two, and 200 bytes in a key.
+constexpr std::size_t kMaxRecordsPerWrite = 16;
+constexpr std::size_t kMaxKeyBytes = 200;
 
-}  // namespace
+std::string NodePrefix(std::string_view node) {
+  return "magnolia-departed/" + std::string(node) + "/";
+}
 
-std::string DepartureKey(std::string_view node) {
-  return "magnolia-departed/" + std::string(node) + "/target";
+// One record that the store can never take would hold up the others.
+bool IsRecordable(std::string_view key) {
+  return key.size() <= kMaxKeyBytes && std::all_of(key.begin(), key.end(), [](char c) { return c > ' ' && c <= '~'; });
 }
 
-bool CoversLife(const proto::TargetLife& departed, const std::string& id, std::int64_t start_ms) {
-  return departed.id() == id && start_ms <= departed.start_ms();
+}  // namespace
+
+std::string DepartureKey(std::string_view node, std::string_view target_id) {
+  return NodePrefix(node) + std::string(target_id);
 }
 
-DepartureRecord::DepartureRecord(TimerQueue& timers,
-                                 MeshStore& store,
-                                 MeshLog& log,
-                                 std::string node,
-                                 std::function<void()> on_known)
+DepartureRecords::DepartureRecords(TimerQueue& timers,
+                                   MeshStore& store,
+                                   MeshLog& log,
+                                   std::string node,
+                                   std::function<void()> on_known)
     : m_timers(timers), m_store(store), m_log(log), m_node(std::move(node)), m_on_known(std::move(on_known)) {}
 
-std::optional<bool> DepartureRecord::HasLeft(const std::string& id, std::int64_t start_ms) const {
-  if (m_departed && CoversLife(*m_departed, id, start_ms)) {
+std::optional<bool> DepartureRecords::HasLeft(const std::string& id, std::int64_t start_ms) const {
+  const auto departure = m_departures.find(id);
+  if (departure != m_departures.end() && start_ms <= departure->second.start_ms) {
     return true;
   }
   return m_known ? std::optional<bool>(false) : std::nullopt;
 }
 
-bool DepartureRecord::IsStored() const {
-  return m_departed && m_stored && SameLife(*m_departed, *m_stored);
-}
-
-void DepartureRecord::OnTick() {
-  // A store that came back from an older copy may have lost the record.
-  if (m_revision != 0 && !m_call_pending && EraOf(m_revision) != m_store.Era()) {
-    SetStored(nullptr);
-    FinishWrite();
+void DepartureRecords::OnTick() {
+  if (m_call_pending) {
+    return;
+  }
+  // A store that came back from an older copy may have lost the records.
+  for (auto& [id, departure] : m_departures) {
+    if (departure.revision != 0 && EraOf(departure.revision) != m_store.Era()) {
+      departure.revision = 0;
+      departure.stored_start_ms.reset();
+    }
+  }
+  DropEnded(BootClock::now());
+  if (m_known && m_retry_timer == 0) {
+    Advance();
   }
 }
 
-void DepartureRecord::Read() {
+void DepartureRecords::Read() {
   if (m_known || m_call_pending) {
     return;
   }
   m_timers.Cancel(std::exchange(m_retry_timer, 0));
   m_call_pending = true;
-  m_store.Range(DepartureKey(m_node), [this](const absl::StatusOr<StoreRange>& range) {
+  m_store.Range(NodePrefix(m_node), [this](const absl::StatusOr<StoreRange>& range) {
     m_call_pending = false;
     if (!range.ok()) {
       RetryLater(range.status(), "read");
@@ -67,75 +80,85 @@
   });
 }
 
-void DepartureRecord::OnRead(const StoreRange& range) {
-  const std::string key = DepartureKey(m_node);
-  const auto kv =
-      std::find_if(range.kvs.begin(), range.kvs.end(), [&](const StoreKv& read) { return read.key == key; });
+void DepartureRecords::OnRead(const StoreRange& range) {
   m_known = true;
   m_retry_delay = Duration(0);
-  SetStored(kv != range.kvs.end() ? &*kv : nullptr);
-  if (m_stored) {
-    m_log.Write(LogCategory::kState, "departure_read",
-                {{"id", m_stored->id()}, {"start_ms", m_stored->start_ms()}, {"revision", m_revision}});
+  for (const StoreKv& kv : range.kvs) {
+    SetStored(kv);
+    m_log.Write(LogCategory::kState, "departure_read", {{"key", kv.key}, {"revision", kv.mod_revision}});
   }
-  if (!m_departed) {
-    m_departed = m_stored;
-  }
-  FinishWrite();
+  Advance();
   m_on_known();
 }
 
-void DepartureRecord::RetryLater(const absl::Status& status, std::string_view what) {
+void DepartureRecords::RetryLater(const absl::Status& status, std::string_view what) {
   m_log.Write(LogCategory::kFailure, "departure_failed", {{"what", what}, {"why", std::string(status.message())}});
-  for (const Done& done : std::exchange(m_waiting, {})) {
-    done(absl::UnavailableError("the leave is not recorded yet"));
+  for (const Waiter& waiter : std::exchange(m_waiting, {})) {
+    waiter.done(absl::UnavailableError("the leave is not recorded yet"));
   }
   m_retry_delay = std::clamp(m_retry_delay * 2, kMinRetryDelay, kMaxRetryDelay);
   m_timers.Cancel(m_retry_timer);
   m_retry_timer = m_timers.At(BootClock::now() + m_retry_delay, [this] {
     m_retry_timer = 0;
-    m_known ? FinishWrite() : Read();
+    m_known ? Advance() : Read();
   });
 }
 
-void DepartureRecord::Record(const proto::TargetLife& life, Done done) {
-  m_departed = life;
-  m_departed->set_node(m_node);
-  m_waiting.push_back(std::move(done));
+void DepartureRecords::Record(const proto::TargetLife& life, Done done) {
+  if (!IsRecordable(DepartureKey(m_node, life.id()))) {
+    done(absl::InvalidArgumentError("the id is too long or has characters that a key cannot have"));
+    return;
+  }
+  Departure& departure = m_departures[life.id()];
+  departure.start_ms = std::max(departure.start_ms, life.start_ms());
+  departure.recorded_at = BootClock::now();
+  m_waiting.push_back(Waiter{life.id(), life.start_ms(), std::move(done)});
   // After a failure the next attempt waits for its time, so that many leaves do not overload a store that returns.
   if (m_retry_timer == 0) {
-    m_known ? FinishWrite() : Read();
+    m_known ? Advance() : Read();
   }
 }
 
-void DepartureRecord::SetStored(const StoreKv* kv) {
-  m_revision = kv != nullptr ? kv->mod_revision : 0;
-  m_stored.reset();
+void DepartureRecords::SetStored(const StoreKv& kv) {
   proto::TargetLife life;
-  if (m_revision != 0 && life.ParseFromString(kv->value) && !life.id().empty()) {
-    m_stored = life;
-  } else if (m_revision != 0) {
-    m_log.Write(LogCategory::kFailure, "record_unreadable", {{"key", kv->key}, {"why", "it names no target"}});
+  if (!life.ParseFromString(kv.value) || kv.key != DepartureKey(m_node, life.id())) {
+    m_log.Write(LogCategory::kFailure, "record_unreadable", {{"key", kv.key}, {"why", "it names no target"}});
+    return;
   }
+  Departure& departure = m_departures[life.id()];
+  departure.start_ms = std::max(departure.start_ms, life.start_ms());
+  departure.stored_start_ms = life.start_ms();
+  departure.revision = kv.mod_revision;
+  departure.recorded_at = BootClock::now();
 }
 
-void DepartureRecord::FinishWrite() {
-  if (m_call_pending || !m_departed) {
-    return;
+void DepartureRecords::DropEnded(TimePoint now) {
+  std::erase_if(m_departures, [now](const auto& entry) {
+    return entry.second.IsStored() && now - entry.second.recorded_at > kRecordDuration;
+  });
+}
+
+void DepartureRecords::Advance() {
+  std::vector<Done> done;
+  std::erase_if(m_waiting, [&](Waiter& waiter) {
+    const auto departure = m_departures.find(waiter.id);
+    const bool stored = departure != m_departures.end() && departure->second.Stores(waiter.start_ms);
+    if (stored) {
+      done.push_back(std::move(waiter.done));
+    }
+    return stored;
+  });
+  for (const Done& call : done) {
+    call(absl::OkStatus());
   }
-  if (!IsStored()) {
+  const bool all_stored =
+      std::all_of(m_departures.begin(), m_departures.end(), [](const auto& entry) { return entry.second.IsStored(); });
+  if (!all_stored && !m_call_pending) {
     Write();
-    return;
-  }
-  for (const Done& done : std::exchange(m_waiting, {})) {
-    done(absl::OkStatus());
   }
 }
 
-void DepartureRecord::Write() {
-  if (m_call_pending) {
-    return;
-  }
+void DepartureRecords::Write() {
   m_timers.Cancel(std::exchange(m_retry_timer, 0));
   m_call_pending = true;
   m_store.GrantLease(kRecordDuration, [this](const absl::StatusOr<std::int64_t>& lease) {
@@ -148,32 +171,50 @@
   });
 }
 
-// The write depends on the revision that is known, so that one which the store executes late replaces no newer record.
-void DepartureRecord::WriteUnder(std::int64_t lease) {
-  const StoreKv record{DepartureKey(m_node), m_departed->SerializeAsString(), 0, lease};
+// The write depends on the revisions that are known, so that one which the store executes late replaces no newer
+// record.
+void DepartureRecords::WriteUnder(std::int64_t lease) {
   StoreTxn txn;
-  txn.compares.push_back(StoreCompare{record.key, m_revision});
-  txn.puts.push_back(StorePut{record.key, record.value, lease});
-  m_store.Txn(txn, [this, record](const absl::StatusOr<StoreWrite>& written) {
+  for (const auto& [id, departure] : m_departures) {
+    if (departure.IsStored() || txn.puts.size() >= kMaxRecordsPerWrite) {
+      continue;
+    }
+    proto::TargetLife life;
+    life.set_node(m_node);
+    life.set_id(id);
+    life.set_start_ms(departure.start_ms);
+    txn.compares.push_back(StoreCompare{DepartureKey(m_node, id), departure.revision});
+    txn.puts.push_back(StorePut{DepartureKey(m_node, id), life.SerializeAsString(), lease});
+  }
+  m_store.Txn(txn, [this, txn](const absl::StatusOr<StoreWrite>& written) {
     m_call_pending = false;
     if (!written.ok()) {
       RetryLater(written.status(), "write");
       return;
     }
     m_retry_delay = Duration(0);
-    if (written->succeeded) {
-      StoreKv stored = record;
-      stored.mod_revision = written->revision;
-      SetStored(&stored);
-      m_log.Write(LogCategory::kState, "departure_recorded",
-                  {{"id", m_stored->id()}, {"start_ms", m_stored->start_ms()}, {"revision", m_revision}});
-    } else {
-      const auto found = std::find_if(written->found.begin(), written->found.end(),
-                                      [&](const StoreKv& kv) { return kv.key == record.key; });
-      SetStored(found != written->found.end() ? &*found : nullptr);
-    }
-    FinishWrite();
+    OnWritten(txn, *written);
+    Advance();
   });
 }
 
+void DepartureRecords::OnWritten(const StoreTxn& txn, const StoreWrite& written) {
+  for (const StorePut& put : txn.puts) {
+    if (written.succeeded) {
+      SetStored(StoreKv{put.key, put.value, written.revision, put.lease});
+      m_log.Write(LogCategory::kState, "departure_recorded", {{"key", put.key}, {"revision", written.revision}});
+      continue;
+    }
+    Departure& departure = m_departures[put.key.substr(NodePrefix(m_node).size())];
+    departure.revision = 0;
+    departure.stored_start_ms.reset();
+    const auto found = std::find_if(written.found.begin(), written.found.end(),
+                                    [&](const StoreKv& kv) { return kv.key == put.key && kv.mod_revision != 0; });
+    if (found != written.found.end()) {
+      departure.revision = found->mod_revision;
+      SetStored(*found);
+    }
+  }
+}
+
 }  // namespace magnoliaarch
--- a/src/mesh_node.cc
+++ b/src/mesh_node.cc
@@ -242,7 +242,7 @@
     hooks.on_view = [this] { OnViewChanged(); };
     hooks.on_registered = [this] {
       m_reports.ReportSoon();
-      // The store is reached: a target that waits for the record need not wait for the next attempt.
+      // The store is reached: a target that waits for the records need not wait for the next attempt.
       m_departures.Read();
     };
     return hooks;
@@ -409,7 +409,7 @@
         return;
       }
       // The leave takes effect at once. Its acknowledgement binds the next run of this node too, so it waits until the
-      // store holds the record.
+      // store holds its record.
       m_departures.Record(*departed, [this, exchange](const absl::Status& recorded) {
         exchange->Respond(m_wire->TargetCallAnswer(recorded));
       });
@@ -824,7 +824,7 @@
   MeshPeers m_peers;
   MeshStore m_store;
   MeshSession m_session;
-  DepartureRecord m_departures;
+  DepartureRecords m_departures;
   CoordinatorRole m_coordinator;
   TableWriter m_table_writer;
   ChainControl m_chain_control;
--- a/src/mesh_target.cc
+++ b/src/mesh_target.cc
@@ -576,18 +576,19 @@
   const auto is_meant = [&](const TargetHeartbeat& life) {
     return life.id == call.id && (leaves || life.start_ms == call.heartbeat.start_ms);
   };
+  const TargetHeartbeat* known = m_deferred_start && is_meant(m_deferred_start->heartbeat)
+                                     ? &m_deferred_start->heartbeat
+                                 : m_heartbeat && is_meant(*m_heartbeat) ? &*m_heartbeat
+                                                                         : nullptr;
+  if (known == nullptr && !leaves) {
+    return std::nullopt;
+  }
+  // A leave names no life. If that of the known one is recorded already, this may be the next one's.
+  const bool known_leaves = known != nullptr && !(leaves && HasLeft(*known));
   proto::TargetLife life;
   life.set_node(m_options.node);
   life.set_id(call.id);
-  if (m_deferred_start && is_meant(m_deferred_start->heartbeat)) {
-    life.set_start_ms(m_deferred_start->heartbeat.start_ms);
-  } else if (m_heartbeat && is_meant(*m_heartbeat)) {
-    life.set_start_ms(m_heartbeat->start_ms);
-  } else if (leaves && !m_heartbeat && !m_deferred_start) {
-    life.set_start_ms(unix_ms);
-  } else {
-    return std::nullopt;
-  }
+  life.set_start_ms(known_leaves ? known->start_ms : unix_ms);
   return life;
 }
 
--- a/src/mesh_target_p.h
+++ b/src/mesh_target_p.h
@@ -45,8 +45,8 @@
   // Whether the fence belongs to an earlier era of the store. Null: never.
   std::function<bool(std::uint64_t fence)> is_earlier_fence;
   std::function<const MeshView&()> view;
-  // Whether this life of the target has left according to the node's record, which outlasts a restart of the node;
-  // nullopt until the record has been read. Null: no life has.
+  // Whether this life of the target has left according to the node's records, which outlast a restart of the node;
+  // nullopt until they have been read. Null: no life has.
   std::function<std::optional<bool>(const std::string& id, std::int64_t start_ms)> has_left;
   // As in KeyGrantsHooks.
   std::function<void(const CompletedRelease& release)> on_released;
@@ -87,8 +87,8 @@
   void Abandon(AdmissionTicket ticket);
 
   absl::Status OnCall(const TargetCall& call);
-  // The life that leaves or drains according to a call that OnCall has accepted; nullopt if none does. A restarted node
-  // may hear of the leave of a life that it does not know; `unix_ms`, the time, then stands for the start of that life.
+  // The life that leaves or drains according to a call that OnCall has accepted; nullopt if none does. A leave may come
+  // from a life that this node has not heard of; `unix_ms`, the time, then stands for its start.
   std::optional<proto::TargetLife> DepartureOf(const TargetCall& call, std::int64_t unix_ms) const;
   void OnViewChanged();
   void OnTick(TimePoint now);
