--- a/tests/mesh_soak_checks.py
+++ b/tests/mesh_soak_checks.py
@@ -8,6 +8,7 @@
 MAX_LATENESS_S = 0.7  # longest time between the route's timeout and the router's answer
 MAX_READ_DELAY_S = 0.2  # if the connection closes later than this after the send, the router has read the request
 DEADLINE_TOLERANCE_S = 0.1  # an answer of the router this close to the deadline counts as a deadline error
+DRAIN_S = 2.0  # drain_ms of the settings
 NOT_RUN_STATUSES = (408, 421, 429, 503)  # statuses which say that the request has not run and will not run
 
 
@@ -31,6 +32,7 @@
                 self.fail("unasked", run.request_id, f"ran at {run.life}, but was not sent")
         self.check_owners()
         self.check_stops()
+        self.check_leaves()
 
     def fail(self, check, name, text):
         self.failures.append((check, name, text))
@@ -142,3 +144,13 @@
             if fault.kind == "term" and fault.code != 0 and not self.fault_overlaps(
                     ("kill", "freeze"), (fault.index,), fault.start - CONTACT_RESTORED_S, fault.end):
                 self.fail("stop", f"n{fault.index}", f"ended with {fault.code}")
+
+    def check_leaves(self):
+        """Finds requests that reached a target after the drain time of an acknowledged leave."""
+        for target in self.targets:
+            for life, acknowledged in target.leaves:
+                for run in target.soak_runs:
+                    bound = acknowledged + DRAIN_S + self.stall_time(acknowledged, run.begin)
+                    if run.life == life and run.begin > bound and not self.fault_overlaps(
+                            ("freeze",), (target.number,), acknowledged, run.begin):
+                        self.fail("drain", run.request_id, f"reached {life} {run.begin - acknowledged:.2f} s after its leave")
