--- a/tests/mesh_soak_checks.py
+++ b/tests/mesh_soak_checks.py
@@ -1,4 +1,5 @@
 """Guarantees that the soak checks, using the records of callers and targets."""
+from mesh_soak_load import DRAIN_S
 from mesh_world import CONTACT_RESTORED_S
 
 GRACE_S = 6.0  # between SIGTERM and SIGKILL; stop_grace_ms of the settings
@@ -8,7 +9,6 @@
 MAX_LATENESS_S = 0.7  # longest time between the route's timeout and the router's answer
 MAX_READ_DELAY_S = 0.2  # if the connection closes later than this after the send, the router has read the request
 DEADLINE_TOLERANCE_S = 0.1  # an answer of the router this close to the deadline counts as a deadline error
-DRAIN_S = 2.0  # drain_ms of the settings
 NOT_RUN_STATUSES = (408, 421, 429, 503)  # statuses which say that the request has not run and will not run
 
 
