--- a/tests/mesh_quota_test.cc
+++ b/tests/mesh_quota_test.cc
@@ -1,6 +1,7 @@
 // The limit of a workspace over all nodes while the pool of its tokens moves between nodes or is out of reach.
 
 #include <algorithm>
+#include <deque>
 #include <memory>
 #include <random>
 #include <vector>
@@ -27,11 +28,14 @@
 constexpr int kSourceTimeoutMs = 1200;
 constexpr int kShareUpdatePeriodMs = 500;
 constexpr double kInitialFill = 0.1;
+constexpr int kRefusalDelayMs = 10;
+// After this time without contact with the store the others take a node for lost.
+constexpr int kLeaseMs = 4600;
 
 // Nodes that request the tokens of one workspace from the pool of one of them, in virtual time.
 class QuotaFleet {
  public:
-  QuotaFleet() : m_holders(kNodes), m_cut_since(kNodes, -1) {
+  QuotaFleet() : m_holders(kNodes), m_cut_since(kNodes, -1), m_owners(kNodes, 0), m_members(kNodes, kNodes) {
     for (int node = 0; node < kNodes; ++node) {
       m_holders[Index(node)].SetLimits(At(0), m_config, kNodes);
       m_pools.push_back(std::make_unique<TokenPool>(kInitialFill));
@@ -41,9 +45,19 @@
 
   // Makes another node hand out the tokens.
   void MoveTo(int node) {
-    m_owner = node;
+    std::fill(m_owners.begin(), m_owners.end(), node);
     m_pools[Index(node)]->Reset(At(m_now_ms), 0);
   }
+  // Makes `owner` hand out the tokens to the nodes from `first` to `last`, which know only each other.
+  void Split(int first, int last, int owner) {
+    for (int node = first; node <= last; ++node) {
+      m_owners[Index(node)] = owner;
+      m_members[Index(node)] = last - first + 1;
+    }
+    m_pools[Index(owner)]->Reset(At(m_now_ms), 0);
+  }
+  // Whether targets refuse all requests, shortly after they were admitted and without running them.
+  void SetRefusing(bool refusing) { m_refusing = refusing; }
   // Cuts nodes off from the pool, or connects them again.
   void Cut(int first, int last, bool cut) {
     for (int node = first; node <= last; ++node) {
@@ -55,6 +69,10 @@
       if (m_now_ms % 50 == 0) {
         Tick();
       }
+      while (!m_refusals.empty() && m_refusals.front().first <= m_now_ms) {
+        m_holders[Index(m_refusals.front().second)].Refund(0);
+        m_refusals.pop_front();
+      }
       std::poisson_distribution<int> arrivals(per_s / 1000);
       for (int count = arrivals(m_random); count > 0; --count) {
         Serve(static_cast<int>(m_random() % kNodes));
@@ -84,19 +102,20 @@
     if (IsCut(node)) {
       return;
     }
-    for (const auto& [workspace, wanted] : m_holders[Index(node)].TokensToRequest(At(m_now_ms), kNodes)) {
-      const double given = m_pools[Index(m_owner)]->Take(At(m_now_ms), workspace, wanted, kNodes);
+    const auto members = static_cast<std::size_t>(m_members[Index(node)]);
+    for (const auto& [workspace, wanted] : m_holders[Index(node)].TokensToRequest(At(m_now_ms), members)) {
+      const double given = m_pools[Index(m_owners[Index(node)])]->Take(At(m_now_ms), workspace, wanted, members);
       given > 0 ? m_holders[Index(node)].Add(workspace, given)
                 : m_holders[Index(node)].OnTokensDenied(At(m_now_ms), workspace);
     }
   }
   void Tick() {
-    int in_touch = 0;
-    for (int node = 0; node < kNodes; ++node) {
-      in_touch += IsOutOfTouch(node) ? 0 : 1;
-    }
-    if (m_now_ms % kShareUpdatePeriodMs == 0) {
-      m_pools[Index(m_owner)]->SetShareInTouch(At(m_now_ms), static_cast<double>(in_touch) / kNodes);
+    for (int owner = 0; owner < kNodes && m_now_ms % kShareUpdatePeriodMs == 0; ++owner) {
+      int in_touch = 0;
+      for (int node = 0; node < kNodes; ++node) {
+        in_touch += m_owners[Index(node)] != owner || IsOutOfTouch(node) ? 0 : 1;
+      }
+      m_pools[Index(owner)]->SetShareInTouch(At(m_now_ms), static_cast<double>(in_touch) / m_members[Index(owner)]);
     }
     for (int node = 0; node < kNodes; ++node) {
       TokenHolder& holder = m_holders[Index(node)];
@@ -109,7 +128,7 @@
       if ((m_now_ms + node * 100) % kReturnPeriodMs == 0 && !IsCut(node)) {
         for (const auto& [workspace, tokens] :
              holder.TakeSurplus(At(m_now_ms), kNodes, [](std::size_t) { return true; })) {
-          m_pools[Index(m_owner)]->Return(At(m_now_ms), workspace, tokens);
+          m_pools[Index(m_owners[Index(node)])]->Return(At(m_now_ms), workspace, tokens);
         }
       }
     }
@@ -122,7 +141,9 @@
       Request(node);
       taken = holder.Take(At(m_now_ms), 0);
     }
-    if (taken) {
+    if (taken && m_refusing) {
+      m_refusals.emplace_back(m_now_ms + kRefusalDelayMs, node);
+    } else if (taken) {
       m_admitted.push_back(m_now_ms);
     }
   }
@@ -137,7 +158,10 @@
   std::vector<TokenHolder> m_holders;
   std::vector<std::unique_ptr<TokenPool>> m_pools;
   std::vector<int> m_cut_since;
-  int m_owner = 0;
+  std::vector<int> m_owners;   // by node: the node that it takes for the one that hands out the tokens
+  std::vector<int> m_members;  // by node: how many nodes it knows
+  bool m_refusing = false;
+  std::deque<std::pair<int, int>> m_refusals;  // when each becomes known, and at which node
   int m_now_ms = 0;
   int m_asked = 0;
   std::mt19937 m_random{11};
@@ -190,6 +214,37 @@
   CHECK(fleet.Busiest() <= kAllowed);
 }
 
+// Guards against exceeding a workspace's limit after its targets refused requests (QUOTA on vch-renewals, inc1).
+TEST_CASE("tokens of refused requests do not add to a workspace's limit") {
+  QuotaFleet fleet;
+  fleet.Run(10000, kUsualDemand);
+  fleet.SetRefusing(true);
+  fleet.Run(5000, kHotFactor * kUsualDemand);
+  fleet.SetRefusing(false);
+  fleet.Run(6000, kHotFactor * kUsualDemand);
+  CHECK(fleet.Busiest() <= kAllowed);
+}
+
+// Guards against two nodes that hand out the tokens of one workspace (QUOTA, review/8).
+TEST_CASE("nodes that are cut off for longer than their lease do not add to a workspace's limit") {
+  QuotaFleet fleet;
+  fleet.Run(10000, kUsualDemand);
+  SECTION("with the node that hands out the tokens") {
+    fleet.Cut(3, 8, true);
+    fleet.Run(kLeaseMs, kHotFactor * kUsualDemand);
+    fleet.Cut(3, 8, false);
+    fleet.Split(3, 8, 3);
+    fleet.Run(7000, kHotFactor * kUsualDemand);
+  }
+  SECTION("without it") {
+    fleet.Cut(6, 8, true);
+    fleet.Run(kLeaseMs, kHotFactor * kUsualDemand);
+    fleet.Split(0, 5, 0);
+    fleet.Run(7000, kHotFactor * kUsualDemand);
+  }
+  CHECK(fleet.Busiest() <= kAllowed);
+}
+
 // Guards against refusals below a workspace's limit.
 TEST_CASE("a workspace within its limit is served") {
   QuotaFleet fleet;
