Log where the tokens of a workspace went

A node now logs tokens_used each second for a workspace that lacked tokens or got some back, and a pool tokens_given.

--- a/src/mesh_limits.cc
+++ b/src/mesh_limits.cc
@@ -37,7 +37,7 @@
 void TokenPool::SetLimits(TimePoint now, const MeshConfig& config) {
   std::vector<Bucket> buckets;
   for (const MeshWorkspace& workspace : config.workspaces) {
-    Bucket bucket{workspace.name, workspace.rate, workspace.burst, workspace.burst * m_initial_fill, 0, now};
+    Bucket bucket{workspace.name, workspace.rate, workspace.burst, workspace.burst * m_initial_fill, 0, now, {}};
     for (const Bucket& old : m_buckets) {
       if (old.name == workspace.name) {
         bucket.tokens = std::min(old.tokens, workspace.burst);
@@ -84,6 +84,7 @@
     Refill(now, &bucket);
     bucket.tokens = std::min(bucket.burst, bucket.tokens + tokens);
     bucket.held_by_nodes = std::max(0.0, bucket.held_by_nodes - tokens);
+    bucket.use.returned += tokens;
   }
 }
 
@@ -102,13 +103,27 @@
   bucket.tokens -= given;
   // The first token is usually for a request that waits for it, so the node does not hold it.
   bucket.held_by_nodes += given - 1;
+  bucket.use.given += given;
   return given;
 }
 
+std::vector<TokenUse> TokenPool::CollectUse() {
+  std::vector<TokenUse> all;
+  for (Bucket& bucket : m_buckets) {
+    TokenUse use = std::exchange(bucket.use, {});
+    if (use.given + use.returned > 0) {
+      use.workspace = bucket.name;
+      use.tokens = bucket.tokens;
+      all.push_back(std::move(use));
+    }
+  }
+  return all;
+}
+
 void TokenHolder::SetLimits(TimePoint now, const MeshConfig& config, std::size_t nodes) {
   std::vector<WorkspaceTokens> workspace_tokens;
   for (const MeshWorkspace& workspace : config.workspaces) {
-    WorkspaceTokens state{workspace.name, workspace.rate, workspace.burst, 0, 0, 0, now, 0, {}, false};
+    WorkspaceTokens state{workspace.name, workspace.rate, workspace.burst, 0, 0, 0, now, 0, {}, false, {}};
     for (const WorkspaceTokens& old : m_workspace_tokens) {
       if (old.name == workspace.name) {
         state = old;
@@ -148,19 +163,23 @@
   UpdateDemand(now, state);
   if (state.fractions_admit && state.tokens < 1 && state.tokens > std::uniform_real_distribution<>(0, 1)(m_random)) {
     state.tokens = 0;
+    state.use.admitted += 1;
     return true;
   }
   if (state.tokens < 1) {
     state.unmet_requests += 1;
+    state.use.denied += 1;
     return false;
   }
   state.tokens -= 1;
+  state.use.admitted += 1;
   return true;
 }
 
 void TokenHolder::Add(std::size_t workspace, double tokens) {
   if (workspace < m_workspace_tokens.size()) {
     m_workspace_tokens[workspace].tokens += tokens;
+    m_workspace_tokens[workspace].use.received += tokens;
     m_workspace_tokens[workspace].fractions_admit = false;
   }
 }
@@ -168,7 +187,21 @@
 void TokenHolder::Refund(std::size_t workspace) {
   if (workspace < m_workspace_tokens.size() && m_workspace_tokens[workspace].rate > 0) {
     m_workspace_tokens[workspace].tokens += 1;
+    m_workspace_tokens[workspace].use.refunded += 1;
+  }
+}
+
+std::vector<TokenUse> TokenHolder::CollectUse() {
+  std::vector<TokenUse> all;
+  for (WorkspaceTokens& state : m_workspace_tokens) {
+    TokenUse use = std::exchange(state.use, {});
+    if (use.denied + use.refunded > 0) {
+      use.workspace = state.name;
+      use.tokens = state.tokens;
+      all.push_back(std::move(use));
+    }
   }
+  return all;
 }
 
 double TokenHolder::Reserve(const WorkspaceTokens& state, std::size_t nodes) {
@@ -232,7 +265,10 @@
       const double part = state.burst / node_count;
       const double most = std::max(kLocalShareOfBurst * part, std::min(part, 1.0));
       state.fractions_admit = part < 1;
-      state.tokens = std::min(state.tokens + state.rate * Seconds(elapsed) / node_count, std::max(state.tokens, most));
+      const double tokens =
+          std::min(state.tokens + state.rate * Seconds(elapsed) / node_count, std::max(state.tokens, most));
+      state.use.refilled += tokens - state.tokens;
+      state.tokens = tokens;
     }
   }
 }
--- a/src/mesh_limits_p.h
+++ b/src/mesh_limits_p.h
@@ -18,6 +18,19 @@
 
 namespace magnoliaarch {
 
+// Tokens of a workspace that passed through a node or a pool since the last report, for the log.
+struct TokenUse {
+  std::string workspace;
+  double admitted = 0;  // requests that took a token
+  double refunded = 0;  // of these, refused without having run
+  double denied = 0;    // requests that found no token
+  double received = 0;  // from the node that hands them out
+  double refilled = 0;  // added by this node itself
+  double given = 0;     // by the pool
+  double returned = 0;  // to the pool
+  double tokens = 0;    // held now
+};
+
 // Hands out the tokens of each workspace to the nodes that request them. The tokens in the pool and those that nodes
 // hold stay within the burst in total, and the pool refills at the rate, so the nodes together cannot exceed the limit.
 class TokenPool {
@@ -36,6 +49,8 @@
   void Return(TimePoint now, std::size_t workspace, double tokens);
   // Takes up to `wanted` tokens for one of `nodes` nodes. Returns the number taken.
   double Take(TimePoint now, std::size_t workspace, double wanted, std::size_t nodes);
+  // Returns and clears what was counted for the workspaces whose tokens moved.
+  std::vector<TokenUse> CollectUse();
 
  private:
   struct Bucket {
@@ -45,6 +60,7 @@
     double tokens = 0;
     double held_by_nodes = 0;  // estimate: tokens handed out that are neither used nor returned
     TimePoint updated_at;
+    TokenUse use{};
   };
   void Refill(TimePoint now, Bucket* bucket) const;
   double m_initial_fill;
@@ -83,6 +99,8 @@
       Duration elapsed,
       std::size_t nodes,
       const Filter& selects = [](std::size_t) { return true; });
+  // Returns and clears what was counted for the workspaces that lacked tokens or got some back.
+  std::vector<TokenUse> CollectUse();
 
  private:
   struct WorkspaceTokens {
@@ -96,6 +114,7 @@
     double unmet_requests = 0;  // requests without a token since the last call of TokensToRequest
     TimePoint request_paused_until{};
     bool fractions_admit = false;  // a fraction of a token admits a request with that probability
+    TokenUse use{};
   };
   void UpdateDemand(TimePoint now, WorkspaceTokens& state);
   // Tokens that the node holds for its next requests.
--- a/src/mesh_token_client.cc
+++ b/src/mesh_token_client.cc
@@ -1,6 +1,7 @@
 #include "mesh_token_client_p.h"
 
 #include <algorithm>
+#include <cmath>
 #include <set>
 #include <utility>
 
@@ -18,6 +19,7 @@
 // If a node has not answered for this long, this node admits from its own share of its workspaces' limits.
 constexpr Duration kSourceTimeout = std::chrono::milliseconds(1200);
 constexpr double kMilliPerToken = 1000;
+constexpr Duration kUseLogPeriod = std::chrono::milliseconds(1000);
 
 }  // namespace
 
@@ -80,6 +82,33 @@
     m_next_request_at = now + kRequestPeriod;
     Request(now);
   }
+  LogUse(now);
+}
+
+// One line for each workspace that was short of tokens, so that the sum over all nodes and pools can be compared with
+// its limit.
+void TokenClient::LogUse(TimePoint now) {
+  if (now < m_next_use_log_at) {
+    return;
+  }
+  m_next_use_log_at = now + kUseLogPeriod;
+  for (const TokenUse& use : m_holder.CollectUse()) {
+    m_log.Write(LogCategory::kFailure, "tokens_used",
+                {{"workspace", use.workspace},
+                 {"admitted", std::llround(use.admitted)},
+                 {"refunded", std::llround(use.refunded)},
+                 {"denied", std::llround(use.denied)},
+                 {"received", std::llround(use.received)},
+                 {"refilled", std::llround(use.refilled)},
+                 {"held", std::llround(use.tokens)}});
+  }
+  for (const TokenUse& use : m_service.CollectUse()) {
+    m_log.Write(LogCategory::kFailure, "tokens_given",
+                {{"workspace", use.workspace},
+                 {"given", std::llround(use.given)},
+                 {"returned", std::llround(use.returned)},
+                 {"in_pool", std::llround(use.tokens)}});
+  }
 }
 
 void TokenClient::Request(TimePoint now) {
--- a/src/mesh_token_client_p.h
+++ b/src/mesh_token_client_p.h
@@ -51,6 +51,7 @@
   };
 
   void Request(TimePoint now);
+  void LogUse(TimePoint now);
   void Send(const std::string& node, const proto::TokenCall& call, TimePoint now);
   void OnReply(const std::string& node, const proto::TokenCall& call, const proto::TokenReply& reply, TimePoint sent);
   void OnFailure(const std::string& node, TimePoint sent, std::string_view detail);
@@ -70,6 +71,7 @@
   TimePoint m_next_request_at;
   TimePoint m_next_return_at;
   TimePoint m_last_tick_at;
+  TimePoint m_next_use_log_at;
 };
 
 }  // namespace magnoliaarch
--- a/src/mesh_token_service_p.h
+++ b/src/mesh_token_service_p.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "mesh.pb.h"
 #include "mesh_duties_p.h"
@@ -26,6 +27,8 @@
   // Answers a node's request for tokens. An answer without a version says that the configurations differ, or that this
   // node is not responsible for a workspace of the request.
   proto::TokenReply OnTokenCall(TimePoint now, const proto::TokenCall& call);
+  // What this node's pool gave out since the last call, for the log.
+  std::vector<TokenUse> CollectUse() { return m_pool.CollectUse(); }
   // Returns the node that hands out a workspace's tokens; empty if there is none now.
   const std::string& NodeFor(std::size_t workspace) const { return m_duties.NodeFor(workspace); }
 
