Keep one ledger for the tokens of a workspace over all places

Cause: no place knew the sum. The pool forgot after a second what nodes held and filled up again, while the nodes kept the tokens of refused requests up to a second of their demand. Nodes out of touch added equal parts of the rate for ever, also when the others had removed them from the members, and a coordinator that was cut off went on handing out tokens beside the next one.

Change: the node that hands out tokens keeps an entry for each node: its part of the limit, what it may hold, and until when it has promised not to refill itself. Parts add up to 1, tokens to the burst. Tokens, parts and the pool end with the node's authority; a pool that takes over uses only what members report until all have.

--- a/src/mesh_coordinator.cc
+++ b/src/mesh_coordinator.cc
@@ -303,17 +303,6 @@
   return std::max(kMinStaleReportAge, ReportPeriod(m_session.View().Members().size()) * kStaleReportPeriods);
 }
 
-double CoordinatorRole::ShareInTouch(TimePoint now) const {
-  const auto& members = m_session.View().Members();
-  const auto in_touch = std::count_if(members.begin(), members.end(), [&](const auto& entry) {
-    const auto known = m_reports.find(entry.first);
-    // A node that has not reported yet may still do so for some time after the election.
-    const TimePoint heard_at = known != m_reports.end() ? known->second.received_at : m_coordinator_since;
-    return entry.first == m_node || now - heard_at < MaxReportAge();
-  });
-  return members.empty() ? 1 : static_cast<double>(in_touch) / static_cast<double>(members.size());
-}
-
 void CoordinatorRole::CollectHints(TimePoint now) {
   m_hints.Clear();
   const auto config = m_session.View().Config();
--- a/src/mesh_coordinator_p.h
+++ b/src/mesh_coordinator_p.h
@@ -44,8 +44,6 @@
                   CoordinatorRoleHooks hooks);
 
   bool IsCoordinator() const;
-  // Share of the members, this node included, that report to this coordinator; from 0 to 1.
-  double ShareInTouch(TimePoint now) const;
   // If no node is coordinator, tries to acquire the role. If this node is the coordinator, pushes the view to the other
   // nodes, plans key ownership, and resigns if this node cannot reach the store.
   void OnTick(TimePoint now, bool store_reachable, bool stopping);
--- a/src/mesh_ingress.cc
+++ b/src/mesh_ingress.cc
@@ -54,7 +54,6 @@
       m_options(std::move(options)),
       m_hooks(std::move(hooks)),
       m_chooser(m_options.domain, m_options.domain_preference, m_options.seed),
-      m_tokens(m_options.seed),
       m_random(m_options.seed) {}
 
 // ---- Admission ----
@@ -89,10 +88,7 @@
     RefuseExchange(exchange, MeshError::kNotConfigured, caller->id, "");
     return;
   }
-  if (config->version != m_token_config_version) {
-    m_token_config_version = config->version;
-    m_tokens.SetLimits(now, *config, m_hooks.live_nodes());
-  }
+  FollowLimits(now, *config);
   const MeshRoute* route = config->FindRoute(caller->host, exchange->request.target);
   if (route == nullptr || route->weighted_services.empty()) {
     RefuseExchange(exchange, FinalUnlessUnconfirmed(MeshError::kUnknownRoute), caller->id, "");
@@ -158,6 +154,13 @@
   Admit(id);
 }
 
+void MeshIngress::FollowLimits(TimePoint now, const MeshConfig& config) {
+  if (config.version != m_token_config_version) {
+    m_token_config_version = config.version;
+    m_tokens.SetLimits(now, config);
+  }
+}
+
 // Callers do not repeat a request after 401 or 404, so a node that may lack the configuration which allows the request
 // must not answer so.
 MeshError MeshIngress::FinalUnlessUnconfirmed(MeshError kind) const {
@@ -200,17 +203,14 @@
   if (pending.workspace && !m_tokens.Take(now, *pending.workspace)) {
     const TimePoint wait_end =
         pending.received + std::clamp(pending.route->objective / kTokenWaitPart, kMinTokenWait, kMaxTokenWait);
+    const bool waited = pending.waits_for_tokens;
+    SetWaitsForTokens(id, true);
     if (now >= wait_end || m_tokens.IsAtLimit(now, *pending.workspace) || !m_hooks.request_tokens(*pending.workspace)) {
       Refuse(id, MeshError::kRateExceeded, kQuotaRetryAfter);
-      return;
-    }
-    if (!pending.waits_for_tokens) {
-      pending.waits_for_tokens = true;
-      m_token_waiters.insert(id);
+    } else if (!waited) {
       pending.wait_timer = m_timers.At(wait_end, [this, id] {
         if (m_pending.contains(id)) {
-          m_pending.at(id).waits_for_tokens = false;
-          m_token_waiters.erase(id);
+          SetWaitsForTokens(id, false);
           Admit(id);
         }
       });
@@ -218,8 +218,8 @@
     return;
   }
   pending.has_token = pending.workspace.has_value();
-  pending.waits_for_tokens = false;
-  m_token_waiters.erase(id);
+  pending.token_taken_at = now;
+  SetWaitsForTokens(id, false);
   m_timers.Cancel(std::exchange(pending.wait_timer, 0));
   RetryBudgetFor(pending.request.service()).OnRequest(now);
   // The run that makes an inner call is in progress already; refusing the call would waste its work.
@@ -235,6 +235,18 @@
   TrySend(id);
 }
 
+void MeshIngress::SetWaitsForTokens(PendingId id, bool waits) {
+  PendingRequest& pending = m_pending.at(id);
+  if (std::exchange(pending.waits_for_tokens, waits) == waits) {
+    return;
+  }
+  waits ? static_cast<void>(m_token_waiters.insert(id)) : static_cast<void>(m_token_waiters.erase(id));
+  // The holder counts from zero again after a change of the configuration.
+  if (pending.config->version == m_token_config_version) {
+    m_tokens.AddWaiting(*pending.workspace, waits ? 1 : -1);
+  }
+}
+
 void MeshIngress::OnTokens() {
   const std::set<PendingId> waiters = m_token_waiters;
   for (const PendingId id : waiters) {
@@ -359,6 +371,9 @@
 }
 
 void MeshIngress::OnViewChanged() {
+  if (const auto config = m_hooks.view().Config(); config != nullptr) {
+    FollowLimits(BootClock::now(), *config);
+  }
   const std::set<PendingId> waiters = m_target_waiters;
   for (const PendingId id : waiters) {
     if (m_pending.contains(id)) {
@@ -639,7 +654,7 @@
   // A request that has not run does not count towards its workspace's rate.
   if (pending.has_token && !pending.may_have_run && !answer.may_have_run &&
       pending.config->version == m_token_config_version) {
-    m_tokens.Refund(*pending.workspace);
+    m_tokens.Refund(now, *pending.workspace, pending.token_taken_at);
   }
   m_log.Write(LogCategory::kFailure, "request_failed",
               {{"id", pending.request.id()},
@@ -723,12 +738,12 @@
 }
 
 void MeshIngress::Remove(PendingId id) {
+  SetWaitsForTokens(id, false);
   const auto it = m_pending.find(id);
   PendingRequest pending = std::move(it->second);
   m_pending.erase(it);
   m_timers.Cancel(pending.expiry_timer);
   m_timers.Cancel(pending.wait_timer);
-  m_token_waiters.erase(id);
   m_target_waiters.erase(id);
   pending.exchange->on_disconnect = nullptr;
   if (pending.send_id != 0) {
--- a/src/mesh_ingress_p.h
+++ b/src/mesh_ingress_p.h
@@ -22,6 +22,7 @@
 #include "mesh_log_p.h"
 #include "mesh_model_p.h"
 #include "mesh_timer_p.h"
+#include "mesh_token_holder_p.h"
 #include "mesh_view_p.h"
 #include "mesh_wire_p.h"
 #include "recent_max_p.h"
@@ -172,6 +173,7 @@
     TimerId expiry_timer = 0;
     TimerId wait_timer = 0;
     bool has_token = false;  // a workspace token was taken for this request
+    TimePoint token_taken_at;
     bool waits_for_tokens = false;
     bool waits_for_target = false;
     std::optional<HttpMessage> fallback_answer;  // error answer of a target, kept while the request is retried
@@ -191,8 +193,10 @@
                       MeshError kind,
                       const std::string& request_id,
                       std::string_view route);
+  void FollowLimits(TimePoint now, const MeshConfig& config);
   MeshError FinalUnlessUnconfirmed(MeshError kind) const;
   void Admit(PendingId id);
+  void SetWaitsForTokens(PendingId id, bool waits);
   void TrySend(PendingId id);
   // Returns the destination node of the next send; empty if there is none now.
   std::string PickNode(PendingRequest& pending, TimePoint now);
--- a/src/mesh_node.cc
+++ b/src/mesh_node.cc
@@ -108,7 +108,9 @@
         m_reports(m_timers, m_peers, m_session, m_coordinator, m_ingress, m_log, [this] { return OwnReport(); }),
         m_rollouts(*m_wire, m_log, m_metrics, m_settings.rollout, RolloutHooks()),
         m_domains(m_settings.domain, m_log, m_metrics, DomainHooks()),
-        m_token_service([this]() -> const MeshView& { return m_session.View(); }, m_settings.node),
+        m_token_service([this]() -> const MeshView& { return m_session.View(); },
+                        m_settings.node,
+                        [this](TimePoint now) { return now < TokenAuthorityEnd(); }),
         m_token_client(m_context,
                        m_peers,
                        m_session,
@@ -605,6 +607,9 @@
     return true;
   }
 
+  // Until when other nodes certainly take this one for a member, and leave its parts of the workspaces' limits to it.
+  TimePoint TokenAuthorityEnd() const { return std::max(m_session.AuthorityEnd(), m_session.EarlierAuthorityEnd()); }
+
   // ---- Keys ----
 
   proto::TargetLife LocalTargetLife() {
@@ -655,11 +660,9 @@
     m_caller_server.OnMemoryTick(now);
     m_reports.OnTick(now);
     m_rollouts.OnTick(now);
-    m_token_client.OnTick(now);
+    m_token_client.OnTick(now, TokenAuthorityEnd());
     if (now - m_last_slow_tick_at > std::chrono::milliseconds(500)) {
       m_last_slow_tick_at = now;
-      m_token_service.SetShareInTouch(
-          now, m_coordinator.IsCoordinator() ? m_coordinator.ShareInTouch(now) : m_token_client.ShareInTouch(now));
       for (Http1Server* server : {&m_caller_server, &m_readiness_server, &m_registration_server, &m_metrics_server}) {
         server->OnTick(now);
       }
--- a/src/mesh_token_client.cc
+++ b/src/mesh_token_client.cc
@@ -10,15 +10,12 @@
 
 // Interval of token requests while tokens are missing. If a caller's request waits for a token, they are sent at once.
 constexpr Duration kRequestPeriod = std::chrono::milliseconds(200);
-// Interval at which unneeded tokens are returned. A node may need them again within this time.
-constexpr Duration kReturnPeriod = std::chrono::milliseconds(1000);
 constexpr Duration kRequestTimeout = std::chrono::milliseconds(500);
 // Calls to a node that does not answer are repeated with exponential backoff, so that they do not add to its load.
 constexpr Duration kMinBackoff = std::chrono::milliseconds(100);
 constexpr Duration kMaxBackoff = std::chrono::milliseconds(1600);
-// If a node has not answered for this long, this node admits from its own share of its workspaces' limits.
+// If a node has not answered for this long, requests do not wait for its tokens.
 constexpr Duration kSourceTimeout = std::chrono::milliseconds(1200);
-constexpr double kMilliPerToken = 1000;
 constexpr Duration kUseLogPeriod = std::chrono::milliseconds(1000);
 
 }  // namespace
@@ -51,33 +48,14 @@
   return source.failing_since != TimePoint() && now - source.failing_since >= kSourceTimeout;
 }
 
-double TokenClient::ShareInTouch(TimePoint now) const {
-  const auto config = m_session.View().Config();
-  // Only nodes that hand out tokens now: others are not called any more, so a failure of theirs would count for ever.
-  std::set<std::string> nodes;
-  for (std::size_t i = 0; config != nullptr && i < config->workspaces.size(); ++i) {
-    nodes.insert(m_service.NodeFor(i));
-  }
-  nodes.erase("");
-  const auto in_touch = std::count_if(nodes.begin(), nodes.end(), [&](const std::string& node) {
-    const auto source = m_sources.find(node);
-    return source == m_sources.end() || !IsFailing(source->second, now);
-  });
-  return nodes.empty() ? 1 : static_cast<double>(in_touch) / static_cast<double>(nodes.size());
-}
-
 bool TokenClient::RequestNow(std::size_t workspace) {
   const TimePoint now = BootClock::now();
   Request(now);
   return IsServed(workspace, now);
 }
 
-void TokenClient::OnTick(TimePoint now) {
-  const TimePoint last_tick = std::exchange(m_last_tick_at, now);
-  if (last_tick != TimePoint()) {
-    m_holder.RefillLocally(now - last_tick, m_session.View().Members().size(),
-                           [&](std::size_t workspace) { return !IsServed(workspace, now); });
-  }
+void TokenClient::OnTick(TimePoint now, TimePoint authority_end) {
+  m_holder.Refill(now, authority_end);
   if (now >= m_next_request_at) {
     m_next_request_at = now + kRequestPeriod;
     Request(now);
@@ -85,6 +63,18 @@
   LogUse(now);
 }
 
+void TokenClient::FollowSources() {
+  const auto config = m_session.View().Config();
+  for (std::size_t i = 0; i < config->workspaces.size(); ++i) {
+    const std::string& node = m_service.NodeFor(i);
+    std::string& known = m_source_of[config->workspaces[i].name];
+    if (!node.empty() && node != known) {
+      known = node;
+      m_holder.OnSourceChanged(i);
+    }
+  }
+}
+
 // One line for each workspace that was short of tokens, so that the sum over all nodes and pools can be compared with
 // its limit.
 void TokenClient::LogUse(TimePoint now) {
@@ -100,6 +90,7 @@
                  {"denied", std::llround(use.denied)},
                  {"received", std::llround(use.received)},
                  {"refilled", std::llround(use.refilled)},
+                 {"part_permille", std::llround(use.part * 1000)},
                  {"held", std::llround(use.tokens)}});
   }
   for (const TokenUse& use : m_service.CollectUse()) {
@@ -107,7 +98,10 @@
                 {{"workspace", use.workspace},
                  {"given", std::llround(use.given)},
                  {"returned", std::llround(use.returned)},
-                 {"in_pool", std::llround(use.tokens)}});
+                 {"refilled", std::llround(use.refilled)},
+                 {"part_permille", std::llround(use.part * 1000)},
+                 {"in_pool", std::llround(use.tokens)},
+                 {"held_by_nodes", std::llround(use.out)}});
   }
 }
 
@@ -116,44 +110,40 @@
   if (config == nullptr) {
     return;
   }
-  const auto can_request = [&](std::size_t workspace) {
-    const std::string& node = m_service.NodeFor(workspace);
-    if (node.empty()) {
-      return false;
+  FollowSources();
+  std::set<std::string> nodes;
+  for (std::size_t i = 0; i < config->workspaces.size(); ++i) {
+    nodes.insert(m_service.NodeFor(i));
+  }
+  nodes.erase("");
+  const std::size_t sharing = m_session.View().Members().size();
+  for (const std::string& node : nodes) {
+    const Source& source = m_sources[node];
+    const auto selects = [&](std::size_t workspace) { return m_service.NodeFor(workspace) == node; };
+    if (source.call_in_flight || now < source.not_before || !m_holder.NeedsCall(now, sharing, selects)) {
+      continue;
     }
-    const auto source = m_sources.find(node);
-    return source == m_sources.end() || (!source->second.call_in_flight && now >= source->second.not_before);
-  };
-  std::map<std::string, proto::TokenCall> calls;
-  for (const auto& [workspace, wanted] :
-       m_holder.TokensToRequest(now, m_session.View().Members().size(), can_request)) {
-    proto::TokenCall& call = calls[m_service.NodeFor(workspace)];
+    proto::TokenCall call;
     call.set_quota_version(static_cast<std::int64_t>(config->version));
-    proto::TenantDemand* demand = call.add_demands();
-    demand->set_tenant(static_cast<std::uint32_t>(workspace));
-    demand->set_wanted_milli(static_cast<std::uint32_t>(wanted * kMilliPerToken));
-  }
-  if (now >= m_next_return_at) {
-    m_next_return_at = now + kReturnPeriod;
-    const auto can_return = [&](std::size_t workspace) { return can_request(workspace) && IsServed(workspace, now); };
-    for (const auto& [workspace, tokens] : m_holder.TakeSurplus(now, m_session.View().Members().size(), can_return)) {
-      proto::TokenCall& call = calls[m_service.NodeFor(workspace)];
-      call.set_quota_version(static_cast<std::int64_t>(config->version));
-      proto::TenantDemand* demand = call.add_demands();
-      demand->set_tenant(static_cast<std::uint32_t>(workspace));
-      demand->set_returned_milli(static_cast<std::uint32_t>(tokens * kMilliPerToken));
+    call.set_node(m_session.Self().node());
+    call.set_incarnation(m_session.Self().incarnation());
+    call.set_sequence(++m_last_sequence);
+    for (proto::TenantDemand& demand : m_holder.BeginCall(now, sharing, selects)) {
+      *call.add_demands() = std::move(demand);
     }
-  }
-  for (const auto& [node, call] : calls) {
     Send(node, call, now);
   }
 }
 
 void TokenClient::Send(const std::string& node, const proto::TokenCall& call, TimePoint now) {
   if (node == m_session.Self().node()) {
+    m_sources[node].call_in_flight = true;
     const proto::TokenReply reply = m_service.OnTokenCall(now, call);
     // Posted, so that OnReply never runs within the admission of a request.
-    asio::post(m_context, [this, node, call, reply, now] { OnReply(node, call, reply, now); });
+    asio::post(m_context, [this, node, call, reply, now] {
+      m_sources[node].call_in_flight = false;
+      OnReply(node, call, reply, now);
+    });
     return;
   }
   const proto::MeshMember* member = m_session.View().FindMember(node);
@@ -202,15 +192,13 @@
   }
   const TimePoint now = BootClock::now();
   for (const proto::TenantDemand& demand : call.demands()) {
-    const bool given = std::any_of(reply.tokens().begin(), reply.tokens().end(),
-                                   [&](const proto::TokenGrant& grant) { return grant.tenant() == demand.tenant(); });
-    if (!given && demand.wanted_milli() > 0) {
-      m_holder.OnTokensDenied(now, demand.tenant());
+    const auto grant = std::find_if(reply.tokens().begin(), reply.tokens().end(),
+                                    [&](const proto::TokenGrant& one) { return one.tenant() == demand.tenant(); });
+    // Tokens of a node that no longer hands them out are on no ledger that counts.
+    if (grant != reply.tokens().end() && m_service.NodeFor(demand.tenant()) == node) {
+      m_holder.OnGrant(now, call.sequence(), demand, *grant);
     }
   }
-  for (const proto::TokenGrant& grant : reply.tokens()) {
-    m_holder.Add(grant.tenant(), grant.milli() / kMilliPerToken);
-  }
   m_on_tokens();
 }
 
--- a/src/mesh_token_client_p.h
+++ b/src/mesh_token_client_p.h
@@ -10,10 +10,10 @@
 #include <string>
 #include <string_view>
 
-#include "mesh_limits_p.h"
 #include "mesh_log_p.h"
 #include "mesh_peers_p.h"
 #include "mesh_session_p.h"
+#include "mesh_token_holder_p.h"
 #include "mesh_token_service_p.h"
 
 namespace magnoliaarch {
@@ -32,14 +32,12 @@
               TokenHolder& holder,
               std::function<void()> on_tokens);
 
-  // Requests missing tokens if the request period has passed. Workspaces whose tokens nobody hands out get this node's
-  // own share.
-  void OnTick(TimePoint now);
+  // Requests missing tokens if the request period has passed, and adds those of this node's parts of the limits, which
+  // it keeps until `authority_end`.
+  void OnTick(TimePoint now, TimePoint authority_end);
   // Requests missing tokens without waiting for the period, because a caller's request waits for those of `workspace`.
   // Returns false if nobody hands out tokens of this workspace, so that waiting is pointless.
   bool RequestNow(std::size_t workspace);
-  // Share of the nodes that hand out tokens, this one included, whose answers reach this node; from 0 to 1.
-  double ShareInTouch(TimePoint now) const;
 
  private:
   // A node that hands out tokens, as seen by this node.
@@ -51,6 +49,8 @@
   };
 
   void Request(TimePoint now);
+  // Tells the holder of workspaces whose tokens another node hands out now.
+  void FollowSources();
   void LogUse(TimePoint now);
   void Send(const std::string& node, const proto::TokenCall& call, TimePoint now);
   void OnReply(const std::string& node, const proto::TokenCall& call, const proto::TokenReply& reply, TimePoint sent);
@@ -67,10 +67,10 @@
   TokenHolder& m_holder;
   std::function<void()> m_on_tokens;
   const std::shared_ptr<const std::string> m_no_body = std::make_shared<const std::string>();
-  std::map<std::string, Source> m_sources;  // by node
+  std::map<std::string, Source> m_sources;         // by node
+  std::map<std::string, std::string> m_source_of;  // node by workspace
+  std::uint64_t m_last_sequence = 0;
   TimePoint m_next_request_at;
-  TimePoint m_next_return_at;
-  TimePoint m_last_tick_at;
   TimePoint m_next_use_log_at;
 };
 
--- a/tests/mesh_eras_test.cc
+++ b/tests/mesh_eras_test.cc
@@ -178,13 +178,18 @@
   view.ApplyRange("op/", Range(Revision(1, 50), {{"op/config", config, Revision(1, 45)}}));
   TokenService service([&]() -> const MeshView& { return view; }, "n");
   TimePoint now = BootClock::now();
+  std::uint64_t sequence = 0;
   const auto take = [&] {
     proto::TokenCall call;
     call.set_quota_version(0xa);
+    call.set_node("n");
+    call.set_sequence(++sequence);
     call.add_demands()->set_wanted_milli(1'000'000);
     const proto::TokenReply reply = service.OnTokenCall(now, call);
     return reply.tokens().empty() ? 0 : reply.tokens(0).milli();
   };
+  take();
+  now += std::chrono::seconds(50);
   CHECK(take() > 0);
   const auto left = take();
   view.ApplyRange("magnolia/", Range(Revision(2, 30), {}));
