--- a/tests/mesh_unread_tests.py
+++ b/tests/mesh_unread_tests.py
@@ -16,7 +16,7 @@
 from mesh_world import Target  # noqa: E402
 
 LIMIT_MB = 64  # the least that the settings allow
-CROWD = 500
+CROWD = 1000
 BODY_BYTES = 128 << 10
 SAMPLE_S = 0.05
 
